--- a/src/codec/codec.cpp
+++ b/src/codec/codec.cpp
@@ -1,5 +1,8 @@
 #include "codec/codec.h"
 
+#include <bit>
+#include <cmath>
+
 namespace bendtide::codec {
 
 namespace {
@@ -19,6 +22,12 @@
   void field(std::uint32_t n) { field(std::uint64_t{n}); }
   void field(bool b) { field(std::uint64_t{b}); }
   void field(Micros m) { field(m.count()); }
+  void field(double d) { field(std::bit_cast<std::uint64_t>(d)); }
+  template <class T>
+  void field(const std::optional<T>& o) {
+    field(o.has_value());
+    if (o) field(*o);
+  }
   void field(const std::string& s) {
     field(std::uint64_t{s.size()});
     out_ += s;
@@ -83,6 +92,18 @@
     field(n);
     m = Micros{n};
   }
+  void field(double& d) {
+    std::uint64_t n = 0;
+    field(n);
+    d = std::bit_cast<double>(n);
+    if (!std::isfinite(d)) fail();
+  }
+  template <class T>
+  void field(std::optional<T>& o) {
+    bool there = false;
+    field(there);
+    if (there) field(o.emplace());
+  }
   void field(std::string& s) {
     std::uint64_t size = 0;
     field(size);
@@ -123,12 +144,23 @@
 
 // One description per message serves both directions.
 template <class A, class M>
+requires std::is_same_v<std::remove_const_t<M>, JobSpec>
+void describe(A& a, M& m) {
+  a.fields(m.id, m.job_class, m.team);
+  a.field(m.shape, Shape::service), a.field(m.priority, Priority::production);
+  a.fields(m.tasks, m.each, m.types, m.zone, m.one_zone, m.spread, m.spot, m.image, m.image_gb, m.estimate,
+           m.checkpoint, m.save, m.deadline);
+}
+template <class A, class M>
 requires std::is_same_v<std::remove_const_t<M>, JobQuery>
-void describe(A& a, M& m) { a.field(m.id), a.field(m.kind, JobQuery::Kind::cancel), a.fields(m.job, m.part); }
+void describe(A& a, M& m) {
+  a.field(m.id), a.field(m.kind, JobQuery::Kind::submit), a.fields(m.job, m.fresh);
+  if (m.kind == JobQuery::Kind::submit) describe(a, m.spec);
+}
 template <class A, class M>
 requires std::is_same_v<std::remove_const_t<M>, JobReply>
 void describe(A& a, M& m) {
-  a.fields(m.id, m.known), a.field(m.phase, JobPhase::cancelled), a.fields(m.done, m.running);
+  a.fields(m.id, m.status), a.field(m.phase, JobPhase::cancelled), a.fields(m.done, m.running);
 }
 template <class A, class M>
 requires std::is_same_v<std::remove_const_t<M>, Call>
@@ -143,11 +175,15 @@
   a.fields(m.id, m.round, m.part, m.tasks, m.start_delay, m.load_permille, m.room_stamp, m.free_share);
 }
 template <class A, class M>
-requires std::is_same_v<std::remove_const_t<M>, Awarded> || std::is_same_v<std::remove_const_t<M>, HandBack>
+requires std::is_same_v<std::remove_const_t<M>, Awarded> ||
+    std::is_same_v<std::remove_const_t<M>, HandBack> || std::is_same_v<std::remove_const_t<M>, Progress>
 void describe(A& a, M& m) { a.field(m.part); }
 template <class A, class M>
-requires std::is_same_v<std::remove_const_t<M>, Progress>
-void describe(A& a, M& m) { a.fields(m.part, m.job); }
+requires std::is_same_v<std::remove_const_t<M>, Wellbeing>
+void describe(A& a, M& m) { a.fields(m.state_answers, m.your_reports); }
+template <class A, class M>
+requires std::is_same_v<std::remove_const_t<M>, Resign>
+void describe(A& a, M& m) { a.fields(m.part, m.token); }
 template <class A, class M>
 requires std::is_same_v<std::remove_const_t<M>, Scarce>
 void describe(A& a, M& m) { a.fields(m.type, m.zone, m.spot); }
--- a/src/codec/codec.h
+++ b/src/codec/codec.h
@@ -15,7 +15,7 @@
 namespace bendtide::codec {
 
 inline constexpr unsigned char kMagic = 0xB7;
-inline constexpr unsigned char kVersion = 1;
+inline constexpr unsigned char kVersion = 2;
 inline constexpr std::size_t kLongestFrame = 64 * 1024;
 
 struct Envelope {
--- a/src/core/calls.h
+++ b/src/core/calls.h
@@ -61,6 +61,7 @@
   bool more = false;
   std::uint64_t revision = 0;
   std::uint64_t lease = 0;
+  std::vector<std::string> failed;  ///< with a conflict: the keys whose condition did not hold
   bool ok() const { return outcome == Outcome::ok; }
 };
 
@@ -131,17 +132,18 @@
 };
 
 // ---- other controllers (see codec/) --------------------------------------------------------------
-/// A question about a job, put to the holder of its part.
+/// A user's request passed on to a controller that can serve it.
 struct JobQuery {
-  enum class Kind : std::uint8_t { poll, cancel };
+  enum class Kind : std::uint8_t { poll, cancel, submit };
   std::uint64_t id = 0;
   Kind kind = Kind::poll;
   std::string job;
-  std::string part;
+  bool fresh = false;  ///< a poll that is worth a read of the state service
+  JobSpec spec;        ///< of a submission
 };
 struct JobReply {
   std::uint64_t id = 0;
-  bool known = false;
+  std::uint32_t status = 503;  ///< as for users
   JobPhase phase = JobPhase::pending;
   std::uint64_t done = 0;
   std::uint64_t running = 0;
@@ -180,12 +182,22 @@
   std::string part;
 };
 struct Progress {
-  std::string part;  ///< the part that owns the job
-  std::string job;
+  std::string part;  ///< the part that owns the jobs
 };
 struct HandBack {
   std::string part;
 };
+/// Said to every peer now and then: whether the state service answers the sender, and how many reports it got
+/// lately from machines that the receiver holds.
+struct Wellbeing {
+  bool state_answers = false;
+  std::uint32_t your_reports = 0;
+};
+/// The sender has let go of a part that it can't serve: the receiver may take it, over this very record.
+struct Resign {
+  std::string part;
+  std::uint64_t token = 0;
+};
 /// Asks the holder of `from` to hand unused share of a team's limit to the part `to`.
 struct Lend {
   std::string from;
@@ -199,8 +211,8 @@
   std::string zone;
   bool spot = false;
 };
-using PeerMessage =
-    std::variant<JobQuery, JobReply, Call, Proposal, Awarded, Progress, HandBack, Lend, Scarce>;
+using PeerMessage = std::variant<JobQuery, JobReply, Call, Proposal, Awarded, Progress, HandBack, Lend,
+                                 Scarce, Wellbeing, Resign>;
 
 // ---- actions -------------------------------------------------------------------------------------
 enum class LogLevel : std::uint8_t { error, info, debug };
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -16,13 +16,22 @@
   bool ever_held = false;
 };
 
+/// What a peer last said of itself.
+struct PeerState {
+  Micros heard_at{-1};
+  bool state_answers = false;
+  Micros our_workers_at{-1};  ///< when it last got reports that were for us
+};
+
 struct Cluster {
   Context& context;
   Store store;
   std::vector<MachineType> catalogue;
   std::map<std::string, Part> parts;    ///< held by this controller
   std::map<std::string, Route> routes;  ///< of all parts
-  Micros valid_until{0};                ///< the end of our term on our own clock
+  std::map<std::string, PeerState> peers;
+  std::map<std::string, std::uint32_t> passed_on;  ///< reports sent on to each host, since they were told
+  Micros valid_until{0};                           ///< the end of our term on our own clock
 
   explicit Cluster(Context& c) : context(c), store(c) {}
 
@@ -53,6 +62,14 @@
     auto it = routes.find(part);
     return it == routes.end() || it->second.host.empty() ? part : it->second.host;
   }
+  /// Whether a peer has said anything lately.
+  bool reachable(const std::string& host) const {
+    if (host == self()) return true;
+    auto it = peers.find(host);
+    return it != peers.end() && it->second.heard_at >= Micros{0} && now() - it->second.heard_at < kPeerSilent;
+  }
+  static constexpr Micros kPeerSilent = seconds(3);
+
   Condition holds(const Part& p) const { return {records::hold_key(p.name), p.token}; }
 };
 
--- a/src/core/contract.cpp
+++ b/src/core/contract.cpp
@@ -9,6 +9,8 @@
 constexpr Micros kAnswerWithin = millis(300);  ///< a silent peer is a refusal
 constexpr Micros kReadEvery = seconds(2);
 constexpr std::size_t kTasksPerAward = 4096;
+constexpr std::size_t kCallsPerTick = 2;
+constexpr std::size_t kRangeBytes = 16;  ///< of one range of tasks in an award record, at most
 
 std::vector<std::pair<std::uint32_t, std::uint32_t>> ranges_of(std::vector<std::uint32_t> tasks) {
   std::sort(tasks.begin(), tasks.end());
@@ -52,16 +54,23 @@
     if (awarded && now >= part.next_progress) read_progress(part);
     if (now - part.awards_known_at > cluster_.context.settings.term()) {
       // We can't tell any more whether these jobs still run: they may have been cancelled.
-      for (auto& [machine, m] : part.machines)
-        for (auto& [id, p] : m.tasks)
-          if (auto it = part.jobs.find(id.task.job); it != part.jobs.end() && !it->second.owner.empty())
-            p.wanted = false;
+      stop_awarded(part);
       continue;
     }
     start_calls(part);
   }
 }
 
+void ContractNet::stop_awarded(Part& part) {
+  for (auto& [machine, m] : part.machines)
+    for (auto& [id, p] : m.tasks) {
+      auto it = part.jobs.find(id.task.job);
+      if (!p.wanted || it == part.jobs.end() || it->second.owner.empty()) continue;
+      part.change(m, id, p, [](Placement& q) { q.wanted = false; });
+      part.push_to(m);
+    }
+}
+
 /// Only its owner awards tasks of a job. Zone rules over all of its tasks need one decider. And the last
 /// write of a job removes all its awards at once.
 bool ContractNet::may_be_awarded(const Job& job) const {
@@ -73,11 +82,14 @@
 
 void ContractNet::start_calls(Part& part) {
   const Micros now = cluster_.now();
-  if (cluster_.routes.size() < 2) return;
-  for (auto& [id, job] : part.jobs) {
-    if (job.overflow == 0 || now < job.next_call || job.offered > 0 || open_.size() >= kOpen ||
-        cluster_.store.busy())
-      continue;
+  if (cluster_.routes.size() < 2 || cluster_.store.busy()) return;
+  // Those that are served first call first; a few at a time, as every call costs each peer a look.
+  std::size_t calls = 0;
+  for (const Ranked& ranked : part.queue) {
+    Job& job = *ranked.job;
+    const std::string& id = job.spec.id;
+    if (calls >= kCallsPerTick || open_.size() >= kOpen) return;
+    if (job.overflow == 0 || now < job.next_call || job.offered > 0) continue;
     // What can't be awarded may still lack share, which peers can hand over.
     if (!may_be_awarded(job) && !job.short_of_share) {
       job.refused = true;
@@ -102,12 +114,13 @@
     c.spare = part.free_share(job.spec.team);
     c.spare = {std::max<std::int64_t>(0, c.spare.cpu), std::max<std::int64_t>(0, c.spare.gpu)};
     for (const auto& [name, route] : cluster_.routes)
-      if (name != part.name && !route.host.empty()) n.asked.insert(name);
+      if (name != part.name && cluster_.reachable(route.host)) n.asked.insert(name);
     if (n.asked.empty()) {
       job.refused = true;
       continue;
     }
     ++counters_.calls;
+    ++calls;
     cluster_.context.debug("call " + std::to_string(c.id) + " for " + std::to_string(c.tasks) + " tasks of " +
                            id);
     auto [it, fresh] = open_.emplace(c.id, std::move(n));
@@ -184,10 +197,10 @@
     ask(open_.emplace(id, std::move(n)).first->second);
     return;
   }
-  award(*part, job, n, feasible.front());
+  award(*part, job, feasible.front());
 }
 
-void ContractNet::award(Part& part, Job& job, const Negotiation& n, const Proposal& best) {
+void ContractNet::award(Part& part, Job& job, const Proposal& best) {
   if (part.room_busy || part.room_stale || part.room_stamp == 0) return;
   const Quota each = quota_of(job.spec.each);
   Quota spare = part.free_share(job.spec.team);
@@ -212,9 +225,18 @@
     move.tasks.push_back(job.waiting.back());
     job.leave_waiting(job.waiting.back(), {Task::State::elsewhere, nullptr, 0});
   }
-  job.offered += static_cast<std::uint32_t>(count);
-  records::Award record{part.name, ranges_of(move.tasks), {job.spec, job.accepted}};
-  (void)n;
+  // The record has to stay below the size of a value.
+  const std::size_t most_ranges = cluster_.context.settings.state_value_bytes / 2 / kRangeBytes;
+  std::vector<std::pair<std::uint32_t, std::uint32_t>> ranges = ranges_of(move.tasks);
+  while (ranges.size() > most_ranges) {
+    for (std::uint32_t i = 0; i < ranges.back().second; ++i) {
+      std::erase(move.tasks, ranges.back().first + i);
+      job.set_waiting(ranges.back().first + i);
+    }
+    ranges.pop_back();
+  }
+  job.offered += static_cast<std::uint32_t>(move.tasks.size());
+  const records::Award record{part.name, std::move(ranges), {part.name, job.spec, job.accepted}};
   commit_move(part, std::move(move), Write{move.key, records::to_json(record), 0}, best.room_stamp);
 }
 
@@ -274,6 +296,7 @@
   p->room_busy = false;
   p->lending[move.team] -= move.moved;
   if (applied) p->shares[move.team] -= move.moved;
+  p->changed();
   auto it = p->jobs.find(move.job);
   if (it != p->jobs.end()) {
     Job& job = it->second;
@@ -320,6 +343,7 @@
         if (r == nullptr) return;
         settle_move(move, applied);
         r->shares = shares;
+        r->changed();
         r->room_stale = true;
       };
       if (move.key.empty()) {
@@ -364,8 +388,7 @@
 
 // ---- the responder -------------------------------------------------------------------------------
 
-void ContractNet::on_call(const std::string& from_host, const Call& call) {
-  (void)from_host;
+void ContractNet::on_call(const Call& call) {
   for (auto& [name, part] : cluster_.parts) {
     if (name == call.from_part || !cluster_.acting()) continue;
     Proposal p;
@@ -376,7 +399,7 @@
       scheduler_.pass(part);
       const Scheduler::Offer offer = scheduler_.offer(part, call);
       std::int64_t size = 1, used = 0;
-      for (const auto& [machine, m] : part.machines) size += m.size.cpu, used += m.used().cpu;
+      for (const auto& [machine, m] : part.machines) size += m.size.cpu, used += m.used.cpu;
       const Quota free = part.free_share(call.team);
       p.free_share = {std::max<std::int64_t>(0, free.cpu), std::max<std::int64_t>(0, free.gpu)};
       p.tasks = offer.tasks;
@@ -408,6 +431,7 @@
                        p->shares = room->shares;
                        p->room_stamp = a.rows.front().stamp;
                        p->room_stale = false;
+                       p->changed();
                      });
 }
 
@@ -430,7 +454,7 @@
       if (!job.owner.empty() && std::none_of(job.awards.begin(), job.awards.end(), [&](const auto& award) {
             return current.contains(award.first);
           }))
-        job.ended = true;
+        p->end(job);
   });
 }
 
@@ -452,10 +476,12 @@
         job.tasks.assign(job.spec.tasks, {Task::State::elsewhere, nullptr, 0});
         job.recorded.assign(job.spec.tasks, false);
         job.unsettled = !part.ready();
+        part.unsettled_jobs |= job.unsettled;
         it = part.jobs.emplace(id, std::move(job)).first;
       }
       Job& job = it->second;
       if (job.owner.empty() || !job.awards.emplace(row.key, winner).second) continue;
+      part.changed();
       for (const auto& [first, count] : award->ranges)
         for (std::uint32_t i = first; i < first + count && i < job.tasks.size(); ++i)
           if (job.tasks[i].state == Task::State::elsewhere) job.set_waiting(i);
@@ -493,20 +519,30 @@
 void ContractNet::load_progress(Part& part, const std::vector<StateRow>& rows, bool own_too) {
   for (const StateRow& row : rows) {
     const auto key = records::split_key(row.key);
-    if (key.size() != 4 || (!own_too && key[1] == part.name)) continue;
-    auto it = part.jobs.find(key[2]);
-    auto done = records::bits(row.value);
-    if (it == part.jobs.end() || !done) continue;
-    Job& job = it->second;
-    if (key[1] != part.name && !job.owner.empty()) continue;
-    const auto chunk = static_cast<std::uint32_t>(std::strtoul(key[3].c_str(), nullptr, 10));
-    const std::size_t first = std::size_t{chunk} * records::kChunk;
-    if (key[1] == part.name) job.record_stamps[chunk] = row.stamp;
-    for (std::size_t i = 0; i < done->size() && first + i < job.tasks.size(); ++i) {
-      if (!(*done)[i]) continue;
-      const Task::State state = job.tasks[first + i].state;
-      if (state == Task::State::elsewhere || (own_too && state == Task::State::waiting))
-        job.mark_done(static_cast<std::uint32_t>(first + i), true);
+    if (key.size() != 3) continue;
+    const bool own = key[1] == part.name;
+    if (own && !own_too) continue;
+    auto done = records::done(row.value);
+    DoneSlot* slot = nullptr;
+    if (own) {
+      slot = &part.done_slots[static_cast<std::uint32_t>(std::strtoul(key[2].c_str(), nullptr, 10))];
+      slot->stamp = row.stamp;
+    }
+    if (!done) continue;
+    for (const records::DoneBits& d : *done) {
+      auto it = part.jobs.find(d.job);
+      // What is not ours any more is left out when the record is written next.
+      if (it == part.jobs.end() || (!own && !it->second.owner.empty())) continue;
+      Job& job = it->second;
+      if (slot != nullptr && slot->chunks.insert({d.job, d.chunk}).second)
+        slot->bytes += records::done_bytes(d.job, d.bits.size());
+      const std::size_t first = std::size_t{d.chunk} * records::kChunk;
+      for (std::size_t i = 0; i < d.bits.size() && first + i < job.tasks.size(); ++i) {
+        if (!d.bits[i]) continue;
+        const Task::State state = job.tasks[first + i].state;
+        if (state == Task::State::elsewhere || (own_too && state == Task::State::waiting))
+          job.mark_done(static_cast<std::uint32_t>(first + i), true);
+      }
     }
   }
 }
--- a/src/core/contract.h
+++ b/src/core/contract.h
@@ -16,7 +16,7 @@
   ContractNet(Cluster& cluster, Scheduler& scheduler, Hooks hooks);
 
   void tick();
-  void on_call(const std::string& from_host, const Call& call);
+  void on_call(const Call& call);
   void on_proposal(const Proposal& proposal);
   void on_lend(const Lend& lend);
   void on_awarded(const std::string& part);
@@ -46,7 +46,9 @@
   bool may_be_awarded(const Job& job) const;
   void ask(Negotiation& n);
   void decide(std::uint64_t id);
-  void award(Part& part, Job& job, const Negotiation& n, const Proposal& best);
+  void award(Part& part, Job& job, const Proposal& best);
+  /// What was awarded to us, once we can't tell any more whether it still is.
+  void stop_awarded(Part& part);
   /// A write that moves share out of a part's room and perhaps an award with it.
   struct Move {
     std::string part;
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Micros kPassEvery = millis(100);
+constexpr Micros kLookEvery = millis(100);
 constexpr Micros kPolicyEvery = seconds(5);
 
 }  // namespace
@@ -16,13 +16,15 @@
 Controller::Controller(Settings settings, std::string incarnation, std::uint64_t seed)
     : context_{std::move(settings), {}, std::move(incarnation), std::mt19937_64(seed), {}, {}, {}, {}},
       cluster_(context_),
-      fleet_(cluster_, {[this](Part& p) { scheduler_.pass(p); }, [this] { holdings_.doubt(); }}),
+      fleet_(cluster_,
+             {[this](Part& p, Machine& m) { scheduler_.fill(p, m); }, [this] { holdings_.doubt(); }}),
       scheduler_(cluster_, fleet_),
       net_(cluster_, scheduler_, {[this] { holdings_.doubt(); }}),
       jobs_(cluster_, fleet_, {[this](Part& p) { schedule(p); }, [this] { holdings_.doubt(); }}),
       renter_(cluster_, fleet_),
       holdings_(
-          cluster_, [this](Part& p) { load(p); }, [](const std::string&) {}) {}
+          cluster_, fleet_, [this](Part& p) { load(p); },
+          [this](const std::string& part) { fleet_.on_part_dropped(part); }) {}
 
 void Controller::at(Micros steady, Micros wall) {
   context_.now = std::max(context_.now, steady);
@@ -43,8 +45,8 @@
   holdings_.tick();
   cluster_.store.pump();
   if (context_.now >= next_policy_) read_policy();
-  if (context_.now >= next_pass_) {
-    next_pass_ = context_.now + kPassEvery;
+  if (context_.now >= next_look_) {
+    next_look_ = context_.now + kLookEvery;
     fleet_.tick();
     if (cluster_.acting())
       for (auto& [name, part] : cluster_.parts)
@@ -81,7 +83,7 @@
     const std::string& host;
     void operator()(const JobQuery& m) { c.jobs_.on_query(host, m); }
     void operator()(const JobReply& m) { c.jobs_.on_reply(m); }
-    void operator()(const Call& m) { c.net_.on_call(host, m); }
+    void operator()(const Call& m) { c.net_.on_call(m); }
     void operator()(const Proposal& m) { c.net_.on_proposal(m); }
     void operator()(const Awarded& m) { c.net_.on_awarded(m.part); }
     void operator()(const Progress& m) { c.net_.on_progress(m.part); }
@@ -90,6 +92,8 @@
     }
     void operator()(const Lend& m) { c.net_.on_lend(m); }
     void operator()(const Scarce& m) { c.renter_.on_scarce(m); }
+    void operator()(const Wellbeing& m) { c.holdings_.on_wellbeing(host, m); }
+    void operator()(const Resign& m) { c.holdings_.on_resign(m); }
   };
   std::visit(Visitor{*this, host}, message);
 }
@@ -185,7 +189,7 @@
       loaded(*p, gathered->live, gathered->claims, gathered->awards, gathered->done);
     };
   };
-  cluster_.store.list(records::live_prefix(part.name), collect(&Gathered::live));
+  cluster_.store.list(records::kLivePrefix, collect(&Gathered::live));
   cluster_.store.list(records::kClaimPrefix, collect(&Gathered::claims));
   cluster_.store.list(records::kAwardPrefix, collect(&Gathered::awards));
   cluster_.store.list(records::kDonePrefix, collect(&Gathered::done));
@@ -196,27 +200,20 @@
   for (const StateRow& row : claims) {
     auto claim = records::claim(row.value);
     if (!claim) continue;
-    Machine m;
-    m.name = row.key.substr(records::kClaimPrefix.size());
-    fleet_.claims()[m.name] = claim->part;
-    if (claim->part != part.name) continue;
-    m.address = claim->address;
-    m.type = claim->type;
-    m.zone = claim->zone;
-    m.spot = claim->spot;
-    m.rented = claim->rented;
+    const std::string name = row.key.substr(records::kClaimPrefix.size());
+    fleet_.claims()[name] = claim->part;
     // An earlier holder may have started anything on it.
-    fleet_.add(part, m).settled = false;
+    if (claim->part == part.name) fleet_.add(part, Fleet::machine_of(name, *claim), false);
   }
-  for (const StateRow& row : live)
-    if (auto record = records::live_job(row.value)) Jobs::load(part, *record).unsettled = true;
+  for (const StateRow& row : live) {
+    auto record = records::live_job(row.value);
+    if (!record) continue;
+    jobs_.learn(*record);
+    if (record->part == part.name) Jobs::load(part, *record).unsettled = true;
+  }
+  part.unsettled_jobs = true;
   net_.load_awards(part, awards);
   net_.load_progress(part, done, true);
-  for (const StateRow& row : done) {
-    const auto key = records::split_key(row.key);
-    if (key.size() == 4 && key[1] == part.name && !part.jobs.contains(key[2]))
-      jobs_.discard(part.name, row.key);
-  }
   part.awards_known_at = part.taken_at;
   make_room_record(part);
 }
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -55,7 +55,7 @@
   Renter renter_;
   Holdings holdings_;
   Micros next_policy_{0};
-  Micros next_pass_{0};
+  Micros next_look_{0};
 };
 
 }  // namespace bendtide
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -4,6 +4,10 @@
 
 namespace {
 
+constexpr Micros kWatchEvery = millis(250);
+/// That many signs in a row show that nothing reaches a machine. One answer may always come too late.
+constexpr int kDeafSigns = 3;
+
 Placement::Seen seen_as(TaskPhase phase) {
   switch (phase) {
     case TaskPhase::fetching:
@@ -30,6 +34,7 @@
 Fleet::Fleet(Cluster& cluster, Hooks hooks) : cluster_(cluster), hooks_(std::move(hooks)) {}
 
 void Fleet::answer(std::uint64_t request, int status, std::string redirect) {
+  if (!redirect.empty()) ++cluster_.passed_on[redirect];
   cluster_.context.act(AnswerWorker{request, {status, 0, {}, std::move(redirect)}});
 }
 
@@ -54,6 +59,7 @@
   if (claim == claims_.end()) return resolve_claim(request, report);
   if (Part* part = cluster_.held(claim->second)) {
     if (part->ready()) return on_own_report(request, *part, report);
+    // The part is being loaded.
     if (deferred_.size() >= kDeferred) return answer(request, 503);
     deferred_.push_back({request, report, cluster_.now()});
     return;
@@ -64,66 +70,140 @@
 }
 
 void Fleet::resolve_claim(std::uint64_t request, const Report& report) {
-  cluster_.store.get(records::claim_key(report.machine), [this, request, report](const StateAnswer& a) {
-    if (a.ok() && !a.rows.empty()) {
-      if (auto claim = records::claim(a.rows.front().value)) {
-        claims_[report.machine] = claim->part;
-        return on_report(request, report);
-      }
-    }
-    if (a.outcome != StateAnswer::Outcome::absent) return answer(request, 503);
-    const std::string home = home_part(report.machine, report.zone);
-    Part* part = cluster_.ready(home);
-    if (part == nullptr) {
-      std::string holder = cluster_.holder(home);
-      return holder == cluster_.self() ? answer(request, 503) : answer(request, 421, holder);
-    }
-    Machine m;
-    m.name = report.machine;
-    m.address = report.address;
-    m.type = report.type;
-    m.zone = report.zone;
-    m.spot = report.spot;
-    m.rented = cluster_.context.wall;
-    claim(*part, m,
-          [this, request, report](bool ok) { ok ? on_report(request, report) : answer(request, 503); });
-  });
+  // Only the holder of its home part claims a machine; everybody else need not read anything.
+  const std::string home = home_part(report.machine, report.zone);
+  Part* part = cluster_.held(home);
+  if (part == nullptr) {
+    const std::string holder = cluster_.holder(home);
+    return holder == cluster_.self() ? answer(request, 503) : answer(request, 421, holder);
+  }
+  if (!part->ready() || deleted_.contains(report.machine) || deferred_.size() >= kDeferred)
+    return answer(request, 503);
+  deferred_.push_back({request, report, cluster_.now()});
+  // A machine that nobody claimed was never given a token: this one was claimed by somebody, or deleted.
+  if (report.token != 0) return find_claim(report.machine);
+  Machine m;
+  m.name = report.machine;
+  m.address = report.address;
+  m.type = report.type;
+  m.zone = report.zone;
+  m.spot = report.spot;
+  m.rented = cluster_.context.wall;
+  claim(*part, std::move(m));
+}
+
+void Fleet::claim(Part& part, Machine machine) {
+  if (!claiming_.insert(machine.name).second) return;
+  to_claim_[part.name].push_back(std::move(machine));
 }
 
-void Fleet::claim(Part& part, Machine machine, std::function<void(bool)> done) {
-  records::Claim record{part.name, machine.type, machine.zone, machine.spot, machine.address, machine.rented};
+/// Several claims go in one write. One that is taken already makes it fail: then each is tried alone.
+void Fleet::write_claims(Part& part) {
+  auto it = to_claim_.find(part.name);
+  if (it == to_claim_.end() || it->second.empty() || writing_claims_ >= kClaimWrites) return;
+  std::size_t most = cluster_.context.settings.state_transaction_writes;
+  if (claims_alone_ > 0) --claims_alone_, most = 1;
+  std::vector<Machine> batch;
+  while (!it->second.empty() && batch.size() < most) {
+    batch.push_back(std::move(it->second.front()));
+    it->second.pop_front();
+  }
   StateCommit txn;
-  txn.conditions = {cluster_.holds(part), {records::claim_key(machine.name), 0}};
-  txn.writes = {{records::claim_key(machine.name), records::to_json(record), 0}};
-  cluster_.store.commit(std::move(txn), [this, name = part.name, generation = part.generation, machine,
-                                         done = std::move(done)](const StateAnswer& a) {
-    Part* p = cluster_.known(name, generation);
-    if (p == nullptr || !a.ok()) {
-      if (a.outcome == StateAnswer::Outcome::conflict) hooks_.doubt_holdings();
-      return done(false);
-    }
-    // Nobody used the machine before it was claimed: nothing unknown can be on it.
-    add(*p, machine).settled = true;
-    done(true);
+  txn.conditions = {cluster_.holds(part)};
+  for (const Machine& m : batch) {
+    txn.conditions.push_back({records::claim_key(m.name), 0});
+    const records::Claim record{part.name, m.type, m.zone, m.spot, m.address, m.rented};
+    txn.writes.push_back({records::claim_key(m.name), records::to_json(record), 0});
+  }
+  ++writing_claims_;
+  cluster_.store.commit(
+      std::move(txn),
+      [this, name = part.name, generation = part.generation,
+       batch = std::move(batch)](const StateAnswer& a) mutable {
+        --writing_claims_;
+        Part* p = cluster_.known(name, generation);
+        if (a.ok() && p != nullptr) {
+          // Nobody used these machines before they were claimed: nothing unknown can be on them.
+          for (const Machine& m : batch) {
+            claiming_.erase(m.name);
+            add(*p, m, true);
+          }
+          return resume_deferred();
+        }
+        if (a.outcome == StateAnswer::Outcome::conflict) hooks_.doubt_holdings();
+        if (p != nullptr && batch.size() > 1) {
+          claims_alone_ += batch.size();
+          for (Machine& m : batch) to_claim_[name].push_back(std::move(m));
+          return;
+        }
+        for (const Machine& m : batch) {
+          claiming_.erase(m.name);
+          // Taken by somebody else, or perhaps by ourselves in a write without answer.
+          if (p != nullptr) find_claim(m.name);
+        }
+      },
+      Store::Rank::later);
+}
+
+void Fleet::find_claim(const std::string& machine) {
+  cluster_.store.get(records::claim_key(machine), [this, machine](const StateAnswer& a) {
+    if (!a.ok() || a.rows.empty()) return;
+    auto claim = records::claim(a.rows.front().value);
+    if (!claim) return;
+    claims_[machine] = claim->part;
+    Part* part = cluster_.ready(claim->part);
+    // Our own write without answer: the machine may have been used since we gave up on it.
+    if (part != nullptr && !part->machines.contains(machine)) add(*part, machine_of(machine, *claim), false);
+    resume_deferred();
   });
 }
 
-Machine& Fleet::add(Part& part, const Machine& machine) {
+Machine Fleet::machine_of(const std::string& name, const records::Claim& claim) {
+  Machine m;
+  m.name = name;
+  m.address = claim.address;
+  m.type = claim.type;
+  m.zone = claim.zone;
+  m.spot = claim.spot;
+  m.rented = claim.rented;
+  return m;
+}
+
+Machine& Fleet::add(Part& part, const Machine& machine, bool settled) {
   claims_[machine.name] = part.name;
   auto [it, fresh] = part.machines.try_emplace(machine.name, machine);
   Machine& m = it->second;
   if (fresh) {
     if (const MachineType* type = cluster_.type(m.type)) m.size = type->size;
     m.last_heard = m.last_answered = m.idle_since = cluster_.now();
+    m.settled = settled;
+    part.count_usage(m, 1);
   }
   return m;
 }
 
-void Fleet::on_part_ready(Part& part) {
+void Fleet::on_part_dropped(const std::string& part) {
+  for (const Machine& m : to_claim_[part]) claiming_.erase(m.name);
+  to_claim_.erase(part);
+}
+
+void Fleet::resume_deferred() {
   std::vector<Deferred> again;
   std::swap(again, deferred_);
-  for (Deferred& d : again) on_report(d.request, d.report);
-  for (auto& [name, m] : part.machines) claims_[name] = part.name;
+  for (Deferred& d : again) {
+    if (claims_.contains(d.report.machine))
+      on_report(d.request, d.report);
+    else
+      deferred_.push_back(std::move(d));
+  }
+}
+
+void Fleet::on_part_ready(Part& part) {
+  for (auto& [name, m] : part.machines) {
+    claims_[name] = part.name;
+    if (!m.settled) part.push_to(m);
+  }
+  resume_deferred();
 }
 
 // ---- reports -------------------------------------------------------------------------------------
@@ -142,26 +222,48 @@
     return answer(request, 503);
   }
   Machine& m = it->second;
-  m.last_answered = cluster_.now();
-  if (report.token >= part.token) m.unseen = false;
+  // The worker has one report in flight: what is not newer than one we answered is a copy, and nobody waits
+  // for the answer. It renews nothing.
+  if (report.session < m.session || (report.session == m.session && report.sequence <= m.reported_sequence))
+    return answer(request, 503);
+  const Micros answered_before = std::exchange(m.last_answered, cluster_.now());
   ReportReply reply{200, part.token, {}, {}};
-  if (!m.unseen && std::pair(report.session, report.sequence) > std::pair(m.session, m.sequence)) {
+  if (believable(part, report) &&
+      std::pair(report.session, report.sequence) > std::pair(m.session, m.sequence)) {
+    if (report.session > m.session && m.heard && !m.lost &&
+        cluster_.now() - answered_before < cluster_.context.settings.worker_lease * 3 / 4)
+      m.unheeded += 2;  // its lease ran out although we answered
     apply(part, m, report, true);
-    hooks_.schedule(part);
+    m.reported_sequence = report.sequence;
+    hooks_.fill(part, m);
     reply.orders = orders(part, m, report.sequence);
+    m.answered_in = report.sequence;
+    m.answered_token = part.token;
+  } else if (!m.settled) {
+    m.address = report.address;
+    part.push_to(m);
   }
   cluster_.context.act(AnswerWorker{request, std::move(reply)});
 }
 
+/// An account that shows no token of this holding may be a late copy from before it, by any time: it may be
+/// answered, so that the worker learns the token, but nothing it says is believed.
+bool Fleet::believable(const Part& part, const Report& report) const {
+  return report.token >= part.first_token;
+}
+
 void Fleet::apply(Part& part, Machine& m, const Report& report, bool is_report) {
   const Micros now = cluster_.now();
   if (report.session > m.session) {
     // A new session begins with an empty machine.
     release_all(part, m);
     m.session = report.session;
+    m.reported_sequence = 0;
+    m.answered_in = 0;
   }
   m.sequence = report.sequence;
   m.address = report.address;
+  if (!m.heard || m.lost) part.changed();
   m.heard = true;
   m.lost = false;
   m.last_heard = now;
@@ -169,17 +271,21 @@
     if (!m.notice_until) cluster_.context.info("machine " + m.name + " will be taken by the cloud");
     m.notice_until = now + *report.notice;
   }
+  for (const ReportedTask& t : report.tasks) note(part, m, t, report.sequence);
 
-  std::set<AttemptId> listed;
-  for (const ReportedTask& t : report.tasks) {
-    listed.insert({t.task, t.attempt});
-    note(part, m, t);
-  }
+  bool asked = m.answered_in != 0 && m.answered_token > m.shown_token;
+  bool heeded = report.token >= m.answered_token;
+  m.shown_token = report.token;
   std::vector<AttemptId> off;
   for (auto& [id, p] : m.tasks) {
     // From here on, a start sent under an older token is refused.
     if (p.pinned_by != 0 && report.token > p.pinned_by) p.pinned_by = 0;
-    if (listed.contains(id) || !is_report || p.direct_in_flight > 0 || p.pinned_by != 0) continue;
+    const bool listed = p.listed_in == report.sequence;
+    if (m.answered_in != 0 && p.offered_in == m.answered_in && (listed || p.seen == Placement::Seen::no)) {
+      asked = true;
+      heeded &= listed;
+    }
+    if (listed || !is_report || p.direct_in_flight > 0 || p.pinned_by != 0) continue;
     if (p.seen != Placement::Seen::no) {
       off.push_back(id);
     } else if (!p.wanted && p.offered_in < report.sequence) {
@@ -188,42 +294,55 @@
     }
   }
   for (const AttemptId& id : off) release(part, m, id);
-  if (report.token >= part.token) m.settled = true;
+  if (is_report && asked) {
+    if (heeded)
+      m.unheeded = 0;
+    else
+      ++m.unheeded;
+    m.answered_in = 0;
+  }
+  part.settle(m, true);
   if (!m.idle()) m.idle_since = now;
 }
 
-void Fleet::note(Part& part, Machine& m, const ReportedTask& t) {
+void Fleet::note(Part& part, Machine& m, const ReportedTask& t, std::uint64_t account) {
   const AttemptId id{t.task, t.attempt};
   auto job_it = part.jobs.find(t.task.job);
   Job* job = job_it == part.jobs.end() ? nullptr : &job_it->second;
   if (job != nullptr && t.task.index >= job->tasks.size()) job = nullptr;
-  auto [it, fresh] = m.tasks.try_emplace(id);
-  Placement& p = it->second;
-  if (fresh) {
+  auto it = m.tasks.find(id);
+  if (it == m.tasks.end()) {
     // Started by an earlier holder, or found late: it is ours to keep if the task is still to be done.
+    Placement& p = part.place(m, id, job);
     p.placed_at = cluster_.now();
-    p.each = job != nullptr ? job->spec.each : m.size;
-    if (job != nullptr) p.image = job->spec.image;
-    p.wanted = false;
+    bool keep = false;
     if (job != nullptr && !job->ended && t.phase != TaskPhase::exited && t.phase != TaskPhase::saving &&
         job->tasks[t.task.index].state == Task::State::waiting) {
       job->leave_waiting(t.task.index, {Task::State::placed, &m, t.attempt});
-      p.wanted = true;
+      keep = true;
     }
+    part.change(m, id, p, [&](Placement& q) { q.wanted = keep; });
+    it = m.tasks.find(id);
   }
-  const Placement::Seen before = p.seen;
-  p.seen = seen_as(t.phase);
-  if (p.seen == Placement::Seen::running && before != Placement::Seen::running) {
+  Placement& p = it->second;
+  p.listed_in = account;
+  if (!p.of_known_job && job != nullptr)
+    part.change(m, id, p, [&](Placement& q) { part.identify(q, m, job); });
+  const Placement::Seen before = p.seen, seen = seen_as(t.phase);
+  if (seen == before) return;
+  part.change(m, id, p, [&](Placement& q) { q.seen = seen; });
+  if (seen == Placement::Seen::running) {
     p.running_since = cluster_.now();
-    if (!p.image.empty()) m.images[p.image] = cluster_.now();
+    if (job != nullptr && job->spec.shape == Shape::array) p.ends_at = p.running_since + job->spec.estimate;
+    if (!p.image.empty()) m.images[p.image] = {cluster_.now(), p.image_gb};
   }
-  if (p.seen == Placement::Seen::ended && before != Placement::Seen::ended) ended(part, m, id, p, t.cause);
+  if (seen == Placement::Seen::ended) ended(part, m, id, p, t.cause);
 }
 
 void Fleet::ended(Part& part, Machine& m, const AttemptId& id, Placement& p, ExitCause cause) {
   p.cause = cause;
-  const bool wanted = p.wanted;
-  p.wanted = false;
+  const bool wanted = std::exchange(p.wanted, false);  // an ended task is in no sum
+  part.changed();
   if (cause != ExitCause::done && p.direct_token != 0) {
     // The task may go elsewhere now, and a repeat of the direct start would run it here again. As long as
     // the worker holds the attempt, ended, the repeat has no effect: keep it until the token is higher.
@@ -239,7 +358,7 @@
   if (cause == ExitCause::done) {
     m.failures = 0;
     m.last_success = now;
-    m.images[job.spec.image] = now;
+    m.images[job.spec.image] = {now, job.spec.image_gb};
     // A task that ran on elsewhere after this one was given up has its own placement, and goes by that.
     if ((counts || task.state == Task::State::waiting) && job.spec.shape == Shape::array)
       job.mark_done(id.task.index, false);
@@ -286,7 +405,8 @@
     if (task.state == Task::State::placed && task.machine == &m && task.attempt == id.attempt)
       it->second.set_waiting(id.task.index);
   }
-  m.tasks.erase(id);
+  part.remove(m, id);
+  part.changed();
   if (m.tasks.empty()) m.idle_since = cluster_.now();
 }
 
@@ -298,8 +418,15 @@
   auto it = part.machines.find(name);
   if (it == part.machines.end()) return;
   release_all(part, it->second);
+  part.count_usage(it->second, -1);
   part.machines.erase(it);
   claims_.erase(name);
+  deleted_.insert(name);
+  deleted_order_.push_back(name);
+  while (deleted_order_.size() > kRememberedDeleted) {
+    deleted_.erase(deleted_order_.front());
+    deleted_order_.pop_front();
+  }
 }
 
 // ---- orders: the difference between what is wanted and what is ------------------------------------
@@ -323,48 +450,76 @@
           job != nullptr && !job->ended && job->spec.checkpoint.count() > 0 ? job->spec.save : Micros{0};
       if (p.stop_since == Micros{0}) p.stop_since = cluster_.now();
       stops.push_back({Order::Kind::stop, id.task, id.attempt, grace});
-    } else if (p.seen == Placement::Seen::no && p.direct_in_flight == 0) {
+    } else if (p.seen == Placement::Seen::no && p.direct_in_flight == 0 && starts.size() < kOrders / 2) {
       starts.push_back({Order::Kind::start, id.task, id.attempt, {}});
       if (in_report != 0) p.offered_in = in_report;
     }
   }
   std::vector<Order> all = std::move(forgets);
   all.insert(all.end(), stops.begin(), stops.end());
+  if (all.size() > kOrders / 2) all.resize(kOrders / 2);
   all.insert(all.end(), starts.begin(), starts.end());
-  if (all.size() > kOrders) all.resize(kOrders);
   return all;
 }
 
+/// Whether something should not wait for the machine's next report.
+bool Fleet::urgent(const Machine& m) const {
+  if (!m.settled) return true;
+  return std::any_of(m.tasks.begin(), m.tasks.end(), [](const auto& t) {
+    const Placement& p = t.second;
+    if (p.wanted) return p.seen == Placement::Seen::no && p.offered_in == 0 && p.pinned_by == 0;
+    return p.takes_room() && p.seen != Placement::Seen::no && p.stop_since == Micros{0};
+  });
+}
+
 void Fleet::push_orders(Part& part) {
   const Micros now = cluster_.now();
-  for (auto& [name, m] : part.machines) {
-    if (m.direct_call || !m.heard || m.lost || m.condemned || m.address.empty()) continue;
-    const bool show_token = !m.settled;
-    bool urgent = false;
-    for (auto& [id, p] : m.tasks) {
-      if (p.wanted && p.seen == Placement::Seen::no && p.offered_in == 0 && p.pinned_by == 0) urgent = true;
-      if (!p.wanted && p.takes_room() && p.seen != Placement::Seen::no && p.stop_since == Micros{0})
-        urgent = true;
+  std::vector<std::string> names;
+  std::swap(names, part.push);
+  for (std::string& name : names) {
+    auto it = part.machines.find(name);
+    if (it == part.machines.end()) continue;
+    Machine& m = it->second;
+    if (direct_.size() >= kDirectCalls) {
+      part.push.push_back(std::move(name));
+      continue;
     }
-    if ((!urgent && !show_token) || now - m.last_heard > cluster_.context.settings.report_every * 3 / 2)
+    m.push_due = false;
+    // A machine that is silent gets its orders with the answer to its next report.
+    if (m.direct_call || m.lost || m.condemned || m.address.empty() || !urgent(m) ||
+        (m.settled && now - m.last_heard > cluster_.context.settings.report_every * 3 / 2))
       continue;
-    std::vector<Order> list = show_token ? std::vector<Order>{} : orders(part, m, 0);
+    // Before all that is on it is known, it is only shown the token. Its first session is number 1.
+    std::vector<Order> list = m.settled ? orders(part, m, 0) : std::vector<Order>{};
     Direct call{part.name, part.generation, name, part.token, {}};
     for (const Order& o : list) {
       if (o.kind != Order::Kind::start) continue;
       AttemptId id{o.task, o.attempt};
       call.starts.push_back(id);
-      ++m.tasks[id].direct_in_flight;
-      m.tasks[id].direct_token = part.token;
+      Placement& p = m.tasks.at(id);
+      ++p.direct_in_flight;
+      p.direct_token = part.token;
     }
     m.direct_call = true;
     std::uint64_t id = next_direct_++;
     direct_.emplace(id, std::move(call));
-    cluster_.context.act(WorkerCall{id, {m.address, m.session, part.token, std::move(list)}});
+    cluster_.context.act(
+        WorkerCall{id, {m.address, std::max<std::uint64_t>(m.session, 1), part.token, std::move(list)}});
   }
 }
 
+void Fleet::probe(const std::string& address, std::function<void(bool)> done) {
+  const std::uint64_t id = next_direct_++;
+  probes_.emplace(id, std::move(done));
+  cluster_.context.act(WorkerCall{id, {address, 0, 0, {}}});
+}
+
 void Fleet::on_orders_answer(std::uint64_t call, const OrdersAnswer& answer) {
+  if (auto it = probes_.find(call); it != probes_.end()) {
+    auto done = std::move(it->second);
+    probes_.erase(it);
+    return done(answer.report.has_value());
+  }
   auto it = direct_.find(call);
   if (it == direct_.end()) return;
   Direct direct = std::move(it->second);
@@ -386,18 +541,24 @@
       part->token_wanted = true;
     }
   }
-  if (answer.report && answer.report->machine == m.name && answer.report->token <= part->token &&
-      std::pair(answer.report->session, answer.report->sequence) > std::pair(m.session, m.sequence))
-    apply(*part, m, *answer.report, false);
+  if (answer.outcome == OrdersAnswer::Outcome::lost && m.settled) ++m.unheeded;
+  if (answer.report && answer.report->machine == m.name && answer.report->token <= part->token) {
+    if (!m.settled && answer.outcome == OrdersAnswer::Outcome::refused)
+      m.session = std::max(m.session, answer.report->session);  // it is shown the token once more
+    else if (believable(*part, *answer.report) &&
+             std::pair(answer.report->session, answer.report->sequence) > std::pair(m.session, m.sequence))
+      apply(*part, m, *answer.report, false);
+    if (answer.outcome == OrdersAnswer::Outcome::executed) m.unheeded = 0;
+  }
+  if (answer.outcome != OrdersAnswer::Outcome::lost && urgent(m)) part->push_to(m);
 }
 
 // ---- time ----------------------------------------------------------------------------------------
 
-bool Fleet::usable(const Part& part, const Machine& m) const {
-  (void)part;
+bool Fleet::usable(const Machine& m) const {
   const Micros now = cluster_.now();
   return m.heard && m.settled && !m.lost && !m.condemned && !m.quarantined && !m.notice_until &&
-         now >= m.avoid_until &&
+         m.unheeded < kDeafSigns - 1 && now >= m.avoid_until &&
          now - m.last_heard <= cluster_.context.settings.report_every * 2 + millis(500);
 }
 
@@ -412,16 +573,16 @@
     if (m.heard && !m.lost && now > m.last_answered + lease) {
       // Nobody renewed its lease: the worker has killed and forgotten everything.
       m.lost = true;
-      m.settled = true;
+      part.settle(m, true);
       // Its next session has begun. A held report of the old one would bring back tasks that are gone.
       ++m.session;
-      m.sequence = 0;
+      m.sequence = m.reported_sequence = m.answered_in = 0;
       if (!m.tasks.empty()) cluster_.context.info("machine " + name + " is silent for its whole lease");
       release_all(part, m);
     }
-    if (!m.heard && !m.settled && now > part.taken_at + lease) m.settled = m.unseen = true;
+    if (!m.heard && !m.settled && now > m.last_answered + lease) part.settle(m, true);
     if (m.heard) ++heard;
-    if (m.heard && now - m.last_heard > silence) ++silent;
+    if (unresponsive(m, silence)) ++silent;
     // What failed on it may turn out to be the jobs' fault.
     if (m.quarantined) {
       const bool faulty_jobs = std::any_of(part.jobs.begin(), part.jobs.end(), [&](const auto& j) {
@@ -432,20 +593,40 @@
       else if (m.idle() && now - m.idle_since > seconds(3))
         m.condemned = true;
     }
-    while (m.images.size() > 16)
-      m.images.erase(std::min_element(m.images.begin(), m.images.end(),
-                                      [](const auto& a, const auto& b) { return a.second < b.second; }));
+    trim_images(m);
   }
   // If most of them are silent, then it is rather us who can't hear.
   if (silent > 0 && (silent * 2 <= heard || silent == 1)) {
     for (auto& [name, m] : part.machines)
-      if (m.heard && !m.condemned && now - m.last_heard > silence) {
+      if (!m.condemned && unresponsive(m, silence)) {
         m.condemned = true;
-        cluster_.context.info("machine " + name + " is silent: it is to be deleted");
+        cluster_.context.info("machine " + name +
+                              (m.unheeded >= kDeafSigns ? " reports but takes up nothing" : " is silent") +
+                              ": it is to be deleted");
       }
   }
 }
 
+/// Silent, or deaf: its reports arrive, but neither answers nor commands reach it.
+bool Fleet::unresponsive(const Machine& m, Micros silence) const {
+  return m.heard && (cluster_.now() - m.last_heard > silence || m.unheeded >= kDeafSigns);
+}
+
+/// The worker keeps the images used last, as many as fit.
+void Fleet::trim_images(Machine& m) const {
+  const MachineType* type = cluster_.type(m.type);
+  if (type == nullptr) return;
+  double total = 0;
+  for (const auto& [name, image] : m.images) total += image.gb;
+  while (total > type->cache_gb && !m.images.empty()) {
+    auto oldest = std::min_element(m.images.begin(), m.images.end(), [](const auto& a, const auto& b) {
+      return a.second.used < b.second.used;
+    });
+    total -= oldest->second.gb;
+    m.images.erase(oldest);
+  }
+}
+
 void Fleet::tick() {
   const Micros now = cluster_.now();
   std::erase_if(deferred_, [&](const Deferred& d) {
@@ -456,9 +637,15 @@
   if (!cluster_.acting()) return;
   for (auto& [name, part] : cluster_.parts) {
     if (!part.ready()) continue;
+    write_claims(part);
+    if (now < part.next_watch) continue;
+    part.next_watch = now + kWatchEvery;
     watch(part);
-    if (part.all_settled())
+    if (part.unsettled_jobs && part.all_settled()) {
+      part.unsettled_jobs = false;
       for (auto& [id, job] : part.jobs) job.unsettled = false;
+      part.changed();
+    }
   }
 }
 
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -8,7 +8,7 @@
 class Fleet {
  public:
   struct Hooks {
-    std::function<void(Part&)> schedule;  ///< place what can be placed
+    std::function<void(Part&, Machine&)> fill;  ///< place on it what waits and fits
     std::function<void()> doubt_holdings;
   };
 
@@ -18,18 +18,23 @@
   void on_report(std::uint64_t request, const Report& report);
   void on_orders_answer(std::uint64_t call, const OrdersAnswer& answer);
   void on_part_ready(Part& part);
+  void on_part_dropped(const std::string& part);
 
+  /// Whether a worker can be reached: no order has token and session 0, and it says what it holds.
+  void probe(const std::string& address, std::function<void(bool)> done);
   /// Sends the orders that should not wait for the next report.
   void push_orders(Part& part);
-  /// A machine that no claim names is claimed for `part`.
-  void claim(Part& part, Machine machine, std::function<void(bool)> done);
+  /// A machine that no claim names is claimed for `part`, with the next write.
+  void claim(Part& part, Machine machine);
   /// The machine and everything on it are gone.
   void gone(Part& part, const std::string& machine);
 
-  Machine& add(Part& part, const Machine& machine);
+  /// Settled: nothing unknown can be on it.
+  Machine& add(Part& part, const Machine& machine, bool settled);
+  static Machine machine_of(const std::string& name, const records::Claim& claim);
   /// The part that takes a machine which nobody claimed: its zone's controllers come first.
   std::string home_part(const std::string& machine, const std::string& zone) const;
-  bool usable(const Part& part, const Machine& m) const;
+  bool usable(const Machine& m) const;
   std::map<std::string, std::string>& claims() { return claims_; }
 
  private:
@@ -49,22 +54,39 @@
   void resolve_claim(std::uint64_t request, const Report& report);
   void on_own_report(std::uint64_t request, Part& part, const Report& report);
   void apply(Part& part, Machine& m, const Report& report, bool is_report);
-  void note(Part& part, Machine& m, const ReportedTask& seen);
+  bool believable(const Part& part, const Report& report) const;
+  void note(Part& part, Machine& m, const ReportedTask& seen, std::uint64_t account);
   void ended(Part& part, Machine& m, const AttemptId& id, Placement& p, ExitCause cause);
   void release(Part& part, Machine& m, const AttemptId& id);
   void release_all(Part& part, Machine& m);
   std::vector<Order> orders(Part& part, Machine& m, std::uint64_t in_report);
+  bool urgent(const Machine& m) const;
   void watch(Part& part);
+  bool unresponsive(const Machine& m, Micros silence) const;
+  void trim_images(Machine& m) const;
+  void write_claims(Part& part);
+  void find_claim(const std::string& machine);
+  void resume_deferred();
   void answer(std::uint64_t request, int status, std::string redirect = {});
 
-  static constexpr std::size_t kDeferred = 256;
+  static constexpr std::size_t kDeferred = 512;
+  static constexpr std::size_t kDirectCalls = 24;
+  static constexpr std::size_t kClaimWrites = 2;
+  static constexpr std::size_t kRememberedDeleted = 4096;
   static constexpr std::size_t kOrders = 200;  ///< in one message: far below a line of 64 KiB
 
   Cluster& cluster_;
   Hooks hooks_;
-  std::map<std::string, std::string> claims_;  ///< machine -> part
-  std::vector<Deferred> deferred_;
+  std::map<std::string, std::string> claims_;            ///< machine -> part
+  std::vector<Deferred> deferred_;                       ///< reports that wait for a claim or for the part
+  std::map<std::string, std::deque<Machine>> to_claim_;  ///< by part
+  std::set<std::string> claiming_;
+  std::size_t writing_claims_ = 0;
+  std::size_t claims_alone_ = 0;   ///< that many claims go one by one, after a write of several failed
+  std::set<std::string> deleted_;  ///< lately: a late copy of their reports brings none back
+  std::deque<std::string> deleted_order_;
   std::map<std::uint64_t, Direct> direct_;
+  std::map<std::uint64_t, std::function<void(bool)>> probes_;
   std::uint64_t next_direct_ = 1;
 };
 
--- a/src/core/holdings.cpp
+++ b/src/core/holdings.cpp
@@ -4,8 +4,18 @@
 
 using Outcome = StateAnswer::Outcome;
 
-Holdings::Holdings(Cluster& cluster, Taken on_taken, Dropped on_dropped)
-    : cluster_(cluster), on_taken_(std::move(on_taken)), on_dropped_(std::move(on_dropped)) {
+namespace {
+
+constexpr Micros kWordEvery = millis(1000);
+constexpr Micros kTokenEvery = millis(1000);  ///< every machine has to learn each new token
+constexpr Micros kResignFor = seconds(5);     ///< for the peer to take the part
+constexpr Micros kProbeEvery = seconds(2);
+constexpr std::size_t kProbed = 4;
+
+}  // namespace
+
+Holdings::Holdings(Cluster& cluster, Fleet& fleet, Taken on_taken, Dropped on_dropped)
+    : cluster_(cluster), fleet_(fleet), on_taken_(std::move(on_taken)), on_dropped_(std::move(on_dropped)) {
   cluster_.routes[cluster_.self()];
   for (const Peer& peer : cluster_.context.settings.peers) cluster_.routes[peer.host];
 }
@@ -13,9 +23,85 @@
 void Holdings::tick() {
   renew_lease();
   if (cluster_.now() >= next_look_) look();
+  if (cluster_.now() >= next_word_) tell_peers();
+  probe_workers();
   if (!cluster_.acting()) return;
   for (auto& [name, part] : cluster_.parts)
-    if (part.token_wanted && !part.renewing_token) raise_token(part);
+    if (part.token_wanted && !part.renewing_token && cluster_.now() >= part.next_token) raise_token(part);
+  for (auto& [name, part] : cluster_.parts)
+    if (part.ready() && !part.renewing_token)
+      if (auto host = better_host(part)) return resign(part, *host);
+}
+
+// ---- parts that a peer can serve better ------------------------------------------------------------
+
+void Holdings::tell_peers() {
+  next_word_ = cluster_.now() + kWordEvery;
+  for (const Peer& peer : cluster_.context.settings.peers)
+    cluster_.context.act(PeerSend{
+        peer.host, Wellbeing{cluster_.store.answers(), std::exchange(cluster_.passed_on[peer.host], 0)}});
+}
+
+void Holdings::on_wellbeing(const std::string& host, const Wellbeing& said) {
+  PeerState& peer = cluster_.peers[host];
+  peer.heard_at = cluster_.now();
+  peer.state_answers = said.state_answers;
+  if (said.your_reports > 0) peer.our_workers_at = cluster_.now();
+}
+
+/// All its machines have been silent for longer than any pause between reports.
+bool Holdings::hears_nobody(const Part& part) const {
+  const Micros silence = cluster_.context.settings.report_every * 8 / 5 + seconds(1);
+  const Micros since = cluster_.now() - silence;
+  return part.machines.size() > 1 && part.taken_at + silence < since &&
+         std::none_of(part.machines.begin(), part.machines.end(),
+                      [&](const auto& m) { return m.second.last_heard > since; });
+}
+
+std::optional<std::string> Holdings::better_host(const Part& part) const {
+  const bool deaf = hears_nobody(part), stateless = cluster_.store.failing();
+  if (!deaf && !stateless) return std::nullopt;
+  for (const auto& [host, peer] : cluster_.peers) {
+    if (!cluster_.reachable(host) || !peer.state_answers) continue;
+    if (stateless) return host;
+    if (peer.our_workers_at >= Micros{0} && cluster_.now() - peer.our_workers_at < Cluster::kPeerSilent)
+      return host;
+  }
+  return std::nullopt;
+}
+
+void Holdings::resign(Part& part, const std::string& to) {
+  Resigned& resigned = resigned_[part.name];
+  resigned = {cluster_.now() + kResignFor, {}, false, {}};
+  if (!cluster_.store.failing())
+    for (const auto& [name, m] : part.machines)
+      if (!m.address.empty() && resigned.workers.size() < kProbed) resigned.workers.push_back(m.address);
+  // From here on we do nothing with it: only then may the peer take it.
+  const Resign message{part.name, part.token};
+  drop(part.name,
+       cluster_.store.failing() ? "the state service does not answer us" : "its workers can't reach us");
+  cluster_.context.act(PeerSend{to, message});
+}
+
+void Holdings::on_resign(const Resign& resign) {
+  if (!cluster_.acting() || lease_ == 0 || cluster_.parts.contains(resign.part) ||
+      taking_.contains(resign.part) || !cluster_.routes.contains(resign.part))
+    return;
+  take(resign.part, resign.token);
+}
+
+void Holdings::probe_workers() {
+  for (auto& [name, resigned] : resigned_) {
+    if (resigned.workers.empty() || resigned.probing || cluster_.now() < resigned.next_probe) continue;
+    resigned.probing = true;
+    resigned.next_probe = cluster_.now() + kProbeEvery;
+    std::rotate(resigned.workers.begin(), resigned.workers.begin() + 1, resigned.workers.end());
+    fleet_.probe(resigned.workers.front(), [this, part = name](bool answered) {
+      Resigned& r = resigned_[part];
+      r.probing = false;
+      if (answered) r.workers.clear();
+    });
+  }
 }
 
 void Holdings::renew_lease() {
@@ -105,6 +191,11 @@
   if (cluster_.parts.contains(part)) return;
   Route& route = cluster_.routes[part];
   const bool ours = part == cluster_.self();
+  if (auto it = resigned_.find(part); it != resigned_.end()) {
+    const bool theirs = route.stamp != 0 && route.host != cluster_.self();
+    if (cluster_.now() < it->second.until || (theirs && !it->second.workers.empty())) return;
+    resigned_.erase(it);
+  }
   if (route.stamp == 0) {
     if (!ours) {
       // Its own host comes first, then the others in the order of a ring that starts behind it.
@@ -170,7 +261,7 @@
   Part& part = cluster_.parts[name];
   part = Part{};
   part.name = name;
-  part.token = token;
+  part.token = part.first_token = token;
   part.generation = ++generations_;
   part.taken_at = cluster_.now();
   cluster_.context.info("took part " + name + " with token " + std::to_string(token));
@@ -180,6 +271,7 @@
 void Holdings::raise_token(Part& part) {
   part.renewing_token = true;
   part.token_wanted = false;
+  part.next_token = cluster_.now() + kTokenEvery;
   StateCommit txn;
   txn.conditions = {cluster_.holds(part)};
   txn.writes = {{records::hold_key(part.name),
--- a/src/core/holdings.h
+++ b/src/core/holdings.h
@@ -1,7 +1,7 @@
 // Which parts this controller holds: the lease, taking, bumping, handing back.
 #pragma once
 
-#include "core/cluster.h"
+#include "core/fleet.h"
 
 namespace bendtide {
 
@@ -10,13 +10,16 @@
   using Taken = std::function<void(Part&)>;
   using Dropped = std::function<void(const std::string& part)>;
 
-  Holdings(Cluster& cluster, Taken on_taken, Dropped on_dropped);
+  Holdings(Cluster& cluster, Fleet& fleet, Taken on_taken, Dropped on_dropped);
 
   void tick();
   /// Rewrites our holding record, for a token above all that were ever given out.
   void raise_token(Part& part);
   /// Another controller wants its own part back.
   void hand_back(const std::string& part);
+  void on_wellbeing(const std::string& host, const Wellbeing& said);
+  /// Another controller has let go of a part that it can't serve.
+  void on_resign(const Resign& resign);
   /// A write met a token that is not ours: find out.
   void doubt() { next_look_ = Micros{0}; }
 
@@ -30,8 +33,24 @@
   void adopt(const std::string& part, std::uint64_t token);
   void drop(std::string part, const char* why);
   void lose_lease();
+  void tell_peers();
+  /// Whether a peer could serve a part of ours that we can't; then which.
+  std::optional<std::string> better_host(const Part& part) const;
+  bool hears_nobody(const Part& part) const;
+  void resign(Part& part, const std::string& to);
+  void probe_workers();
+
+  /// After we let go of our own part, we do not ask for it back for a while, nor before a worker of it has
+  /// answered us if it was for their silence.
+  struct Resigned {
+    Micros until{0};
+    std::vector<std::string> workers;  ///< some addresses; none: no need to ask them
+    bool probing = false;
+    Micros next_probe{0};
+  };
 
   Cluster& cluster_;
+  Fleet& fleet_;
   Taken on_taken_;
   Dropped on_dropped_;
   std::uint64_t lease_ = 0;
@@ -42,6 +61,8 @@
   std::set<std::string> taking_;
   std::set<std::string> releasing_;
   std::uint64_t generations_ = 0;
+  Micros next_word_{0};
+  std::map<std::string, Resigned> resigned_;
 };
 
 }  // namespace bendtide
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -7,9 +7,14 @@
 namespace {
 
 constexpr Micros kAskWithin = millis(400);
+constexpr Micros kPassOnWithin = seconds(1.2);
 constexpr Micros kCancelWithin = seconds(3);
-constexpr Micros kRecordEvery = millis(250);
-constexpr Micros kRereadEvery = seconds(10);
+constexpr Micros kRecordEvery = millis(500);
+constexpr Micros kRereadEvery = seconds(60);
+constexpr Micros kRereadSoon = seconds(3);
+/// Submissions may wait for the budget of writes this long; later ones are told to come back.
+constexpr double kAcceptWithin_s = 1.5;
+constexpr std::size_t kTransactionBytes = 48 * 1024;  ///< of the 64 KiB that a transaction may have
 
 }  // namespace
 
@@ -22,16 +27,18 @@
 
 // ---- answers -------------------------------------------------------------------------------------
 
-void Jobs::answer(std::uint64_t request, int status, const std::string& id, const Known& k) {
-  cluster_.context.act(AnswerUser{request, {status, id, k.phase, k.done, k.running, 0, {}}});
+Jobs::Told Jobs::to_user(std::uint64_t request) {
+  return [this, request](const UserReply& reply) { cluster_.context.act(AnswerUser{request, reply}); };
 }
 
-void Jobs::unsure(std::uint64_t request, const std::string& id) {
-  UserReply reply;
-  reply.id = id;
-  reply.retry_after_s = 1;
-  reply.error = "not able to tell now";
-  cluster_.context.act(AnswerUser{request, reply});
+UserReply Jobs::known_reply(const std::string& id, const Known& k, int status) {
+  return {status, id, k.phase, k.done, k.running, 0, {}};
+}
+
+UserReply Jobs::absent(const std::string& id) { return {404, id, {}, 0, 0, 0, "no such job"}; }
+
+UserReply Jobs::unsure(const std::string& id, int retry_after_s) {
+  return {503, id, {}, 0, 0, retry_after_s, "not able to tell now"};
 }
 
 void Jobs::remember(const std::string& id, Known known) {
@@ -44,107 +51,127 @@
   }
 }
 
-std::optional<Jobs::Known> Jobs::from_memory(const std::string& id) {
+void Jobs::learn(const records::LiveJob& record) {
+  if (finals_.contains(record.spec.id)) return;
+  if (part_of_.size() >= kRemembered) part_of_.clear();
+  part_of_[record.spec.id] = record.part;
+}
+
+std::optional<Jobs::Known> Jobs::from_memory(const std::string& id) const {
   if (auto it = finals_.find(id); it != finals_.end()) return it->second;
   if (!cluster_.acting()) return std::nullopt;
-  for (auto& [name, part] : cluster_.parts) {
+  for (const auto& [name, part] : cluster_.parts) {
     if (!part.ready()) continue;
     auto it = part.jobs.find(id);
     if (it == part.jobs.end() || !it->second.owner.empty()) continue;
-    Job& job = it->second;
+    const Job& job = it->second;
     // While its last write is under way, only the state service can tell.
     if (job.finalizing || job.ended) return std::nullopt;
     Known known;
     known.done = job.done;
-    known.running = job.running();
-    for (const Task& t : job.tasks) known.running += t.state == Task::State::elsewhere ? 1 : 0;
+    known.running = job.under_way();
     known.phase = known.running > 0 ? JobPhase::running : JobPhase::pending;
     return known;
   }
   return std::nullopt;
 }
 
-void Jobs::on_poll(std::uint64_t request, const std::string& id) {
-  if (auto known = from_memory(id)) return answer(request, 200, id, *known);
+std::vector<std::string> Jobs::peers() const {
+  std::vector<std::string> hosts;
+  for (const Peer& peer : cluster_.context.settings.peers) hosts.push_back(peer.host);
+  return hosts;
+}
+
+void Jobs::on_poll(std::uint64_t request, const std::string& id) { poll(id, to_user(request), true); }
+
+void Jobs::poll(const std::string& id, Told told, bool may_pass_on) {
+  if (auto known = from_memory(id)) return told(known_reply(id, *known));
   auto part = part_of_.find(id);
-  if (part != part_of_.end() && cluster_.holder(part->second) != cluster_.self()) {
-    JobQuery query{0, JobQuery::Kind::poll, id, part->second};
-    return ask({cluster_.holder(part->second)}, query, kAskWithin,
-               [this, request, id](std::optional<Known> known) {
-                 if (known) return answer(request, 200, id, *known);
-                 read_and_answer(request, id);
+  const std::string holder = part == part_of_.end() ? cluster_.self() : cluster_.holder(part->second);
+  if (may_pass_on && holder != cluster_.self() && cluster_.reachable(holder))
+    return ask({holder}, {0, JobQuery::Kind::poll, id, false, {}}, kAskWithin,
+               [this, id, told](const UserReply& reply) {
+                 reply.status == 200 ? told(reply) : read_and_tell(id, told, true);
                });
-  }
-  read_and_answer(request, id);
+  read_and_tell(id, std::move(told), may_pass_on);
 }
 
-void Jobs::read_and_answer(std::uint64_t request, const std::string& id) {
-  cluster_.store.get(records::job_key(id), [this, request, id](const StateAnswer& a) {
+void Jobs::read_and_tell(const std::string& id, Told told, bool may_pass_on) {
+  auto unreadable = [this, id, told, may_pass_on] {
+    // The state service does not answer us: it may answer a peer, and its holder knows the job without it.
+    if (!may_pass_on) return told(unsure(id));
+    ask(peers(), {0, JobQuery::Kind::poll, id, true, {}}, kPassOnWithin, told);
+  };
+  if (cluster_.store.failing() && may_pass_on) return unreadable();
+  cluster_.store.get(records::live_key(id), [this, id, told, may_pass_on, unreadable](const StateAnswer& a) {
     if (a.outcome == Outcome::absent) {
-      UserReply reply;
-      reply.status = 404;
-      reply.id = id;
-      reply.error = "no such job";
-      cluster_.context.act(AnswerUser{request, reply});
-      return;
-    }
-    if (!a.ok() || a.rows.empty()) {
-      // The state service can't be asked: the holders can.
-      std::vector<std::string> hosts;
-      for (const Peer& peer : cluster_.context.settings.peers) hosts.push_back(peer.host);
-      JobQuery query{0, JobQuery::Kind::poll, id, {}};
-      return ask(hosts, query, kAskWithin, [this, request, id](std::optional<Known> known) {
-        known ? answer(request, 200, id, *known) : unsure(request, id);
+      // Not live at that moment: over since before, or never accepted.
+      return cluster_.store.get(records::job_key(id), [this, id, told, unreadable](const StateAnswer& b) {
+        if (b.outcome == Outcome::absent) return told(absent(id));
+        auto entry = b.ok() && !b.rows.empty() ? records::job_entry(b.rows.front().value) : std::nullopt;
+        if (!entry) return unreadable();
+        const Known known{entry->phase, entry->phase == JobPhase::done ? entry->tasks : 0, 0};
+        remember(id, known);
+        told(known_reply(id, known));
       });
     }
-    auto entry = records::job_entry(a.rows.front().value);
-    if (!entry) return unsure(request, id);
-    if (is_final(entry->phase)) {
-      Known known{entry->phase, entry->phase == JobPhase::done ? entry->tasks : 0, 0};
-      remember(id, known);
-      return answer(request, 200, id, known);
-    }
-    if (part_of_.size() > kRemembered) part_of_.clear();
-    part_of_[id] = entry->part;
-    if (Part* part = cluster_.ready(entry->part); part != nullptr && !part->jobs.contains(id))
-      adopt(*part, id, [](Job*) {});
-    const std::string holder = cluster_.holder(entry->part);
-    if (holder == cluster_.self()) return answer(request, 200, id, {});
+    auto live = a.ok() && !a.rows.empty() ? records::live_job(a.rows.front().value) : std::nullopt;
+    if (!live) return unreadable();
+    learn(*live);
+    Part* part = cluster_.ready(live->part);
+    if (part != nullptr && !part->jobs.contains(id) && !finals_.contains(id)) load(*part, *live);
+    const std::string holder = cluster_.holder(live->part);
     // The record is fresh, so the answer is right either way; the holder knows the counts.
-    JobQuery query{0, JobQuery::Kind::poll, id, entry->part};
-    ask({holder}, query, kAskWithin, [this, request, id](std::optional<Known> known) {
-      answer(request, 200, id, known.value_or(Known{}));
-    });
+    if (holder == cluster_.self() || !may_pass_on || !cluster_.reachable(holder))
+      return told(known_reply(id, {}));
+    ask({holder}, {0, JobQuery::Kind::poll, id, false, {}}, kAskWithin,
+        [id, told](const UserReply& reply) { told(reply.status == 200 ? reply : known_reply(id, {})); });
   });
 }
 
-void Jobs::ask(const std::vector<std::string>& hosts, JobQuery query, Micros within, Answer answer) {
-  if (hosts.empty() || asked_.size() >= kQuestions) return answer(std::nullopt);
+void Jobs::ask(const std::vector<std::string>& hosts, JobQuery query, Micros within, Told told) {
+  if (hosts.empty() || asked_.size() >= kQuestions) return told(unsure(query.job));
   query.id = next_question_++;
-  asked_[query.id] = {cluster_.now() + within, hosts.size(), std::move(answer)};
+  asked_[query.id] = {cluster_.now() + within, hosts.size(),
+                      [id = query.job, told = std::move(told)](const UserReply& reply) {
+                        UserReply mine = reply;
+                        mine.id = id;
+                        told(mine);
+                      }};
   for (const std::string& host : hosts) cluster_.context.act(PeerSend{host, query});
 }
 
 void Jobs::on_reply(const JobReply& reply) {
   auto it = asked_.find(reply.id);
   if (it == asked_.end()) return;
-  if (!reply.known && --it->second.outstanding > 0) return;
-  Answer answer = std::move(it->second.answer);
+  if (reply.status == 503 && --it->second.outstanding > 0) return;
+  Told told = std::move(it->second.told);
   asked_.erase(it);
-  if (!reply.known) return answer(std::nullopt);
-  answer(Known{reply.phase, reply.done, reply.running});
+  UserReply out;
+  out.status = static_cast<int>(reply.status);
+  out.phase = reply.phase;
+  out.done = reply.done;
+  out.running = reply.running;
+  if (out.status == 503) out.retry_after_s = 1;
+  if (out.status >= 400) out.error = "as another controller says";
+  told(out);
 }
 
 void Jobs::on_query(const std::string& from, const JobQuery& query) {
-  auto reply = [this, from, id = query.id](std::optional<Known> known) {
-    JobReply out;
-    out.id = id;
-    out.known = known.has_value();
-    if (known) out.phase = known->phase, out.done = known->done, out.running = known->running;
-    cluster_.context.act(PeerSend{from, out});
+  Told reply = [this, from, id = query.id](const UserReply& r) {
+    cluster_.context.act(
+        PeerSend{from, JobReply{id, static_cast<std::uint32_t>(r.status), r.phase, r.done, r.running}});
   };
-  if (query.kind == JobQuery::Kind::poll) return reply(from_memory(query.job));
-  cancel(query.job, reply, false);
+  switch (query.kind) {
+    case JobQuery::Kind::poll:
+      if (query.fresh) return poll(query.job, reply, false);
+      if (auto known = from_memory(query.job)) return reply(known_reply(query.job, *known));
+      return reply(unsure(query.job));
+    case JobQuery::Kind::cancel:
+      return cancel(query.job, reply, false);
+    case JobQuery::Kind::submit:
+      return submit(query.spec, reply, false);
+  }
 }
 
 // ---- accepting -----------------------------------------------------------------------------------
@@ -173,140 +200,179 @@
   job.tasks.resize(record.spec.tasks);
   job.waiting.reserve(record.spec.tasks);
   for (std::uint32_t i = record.spec.tasks; i > 0; --i) job.waiting.push_back(i - 1);
+  part.changed();
   return job;
 }
 
-void Jobs::on_submit(std::uint64_t request, const JobSpec& spec) {
-  if (auto known = from_memory(spec.id)) return answer(request, 200, spec.id, *known);
-  Part* part = cluster_.ready(cluster_.self());
-  if (part == nullptr || cluster_.catalogue.empty()) return unsure(request, spec.id);
-  if (auto why = impossible(spec)) {
+bool Jobs::can_accept() const {
+  return cluster_.held(cluster_.self()) != nullptr && cluster_.parts.at(cluster_.self()).ready() &&
+         !cluster_.catalogue.empty() && !cluster_.store.failing();
+}
+
+void Jobs::on_submit(std::uint64_t request, const JobSpec& spec) { submit(spec, to_user(request), true); }
+
+void Jobs::submit(const JobSpec& spec, Told told, bool may_pass_on) {
+  const std::string& id = spec.id;
+  if (auto known = from_memory(id)) return told(known_reply(id, *known));
+  if (!can_accept()) {
+    if (!may_pass_on) return told(unsure(id));
+    return ask(peers(), {0, JobQuery::Kind::submit, id, false, spec}, kPassOnWithin, std::move(told));
+  }
+  if (impossible(spec)) {
     // It may have been accepted before, under other settings: then it stays accepted.
-    cluster_.store.get(records::job_key(spec.id), [this, request, id = spec.id, why](const StateAnswer& a) {
-      if (a.outcome != Outcome::absent) return a.ok() ? on_poll(request, id) : unsure(request, id);
-      UserReply reply;
-      reply.status = 422;
-      reply.id = id;
-      reply.error = *why;
-      cluster_.context.act(AnswerUser{request, reply});
-    });
+    return read_and_tell(
+        id,
+        [told, id, why = impossible(spec)](const UserReply& reply) {
+          told(reply.status == 404 ? UserReply{422, id, {}, 0, 0, 0, *why} : reply);
+        },
+        may_pass_on);
+  }
+  if (auto it = being_written_.find(id); it != being_written_.end()) {
+    it->second.push_back(std::move(told));
     return;
   }
-  records::LiveJob record{spec, cluster_.context.wall};
-  StateCommit txn;
-  txn.conditions = {cluster_.holds(*part), {records::job_key(spec.id), 0}};
-  txn.writes = {{records::job_key(spec.id),
-                 records::to_json(records::JobEntry{part->name, JobPhase::pending, spec.tasks}), 0},
-                {records::live_key(part->name, spec.id), records::to_json(record), 0}};
-  cluster_.store.commit(std::move(txn), [this, request, record, name = part->name,
-                                         generation = part->generation](const StateAnswer& a) {
-    const std::string& id = record.spec.id;
-    Part* p = cluster_.known(name, generation);
-    if (a.ok()) {
-      cluster_.context.info("accepted " + id + ": " + std::to_string(record.spec.tasks) + " tasks of " +
-                            record.spec.team);
-      answer(request, 201, id, {});
-      if (p == nullptr) return;
-      load(*p, record);
-      if (cluster_.acting() && p->ready()) hooks_.schedule(*p);
-    } else if (a.outcome == Outcome::conflict) {
-      // Known already, or the part is no longer ours.
-      hooks_.doubt_holdings();
-      cluster_.store.get(records::job_key(id), [this, request, id](const StateAnswer& b) {
-        b.ok() ? on_poll(request, id) : unsure(request, id);
-      });
-    } else {
-      // Without an answer it may have been accepted, or may be yet: then a later poll, a repeated submission,
-      // or the regular reading of the part's unfinished jobs finds it.
-      unsure(request, id);
+  for (Accepting& a : accepting_)
+    if (a.record.spec.id == id) {
+      a.told.push_back(std::move(told));
+      return;
     }
-  });
+  const Settings& s = cluster_.context.settings;
+  const double per_second = s.state_writes_per_s / static_cast<double>(s.controllers());
+  if (static_cast<double>(accepting_.size()) >= std::max(8.0, per_second * kAcceptWithin_s))
+    return told(unsure(id, 2));
+  accepting_.push_back({{cluster_.self(), spec, cluster_.context.wall}, {std::move(told)}});
+  write_accepted(*cluster_.ready(cluster_.self()));
 }
 
-void Jobs::adopt(Part& part, const std::string& id, std::function<void(Job*)> done) {
-  cluster_.store.get(records::live_key(part.name, id),
-                     [this, name = part.name, generation = part.generation, id, done](const StateAnswer& a) {
-                       Part* p = cluster_.known(name, generation);
-                       if (p == nullptr || !a.ok() || a.rows.empty()) return done(nullptr);
-                       if (finals_.contains(id)) return done(nullptr);
-                       auto record = records::live_job(a.rows.front().value);
-                       if (!record) return done(nullptr);
-                       done(&load(*p, *record));
-                     });
+/// All submissions that have gathered while a write was under way go with the next one.
+void Jobs::write_accepted(Part& part) {
+  const std::size_t most = std::max<std::size_t>(1, cluster_.context.settings.state_transaction_writes / 2);
+  while (!accepting_.empty() && accept_writes_ < kAcceptWrites) {
+    Batch batch;
+    StateCommit txn;
+    txn.conditions = {cluster_.holds(part)};
+    while (!accepting_.empty() && batch.size() < most) {
+      const records::LiveJob& record = accepting_.front().record;
+      txn.conditions.push_back({records::live_key(record.spec.id), 0});
+      txn.conditions.push_back({records::job_key(record.spec.id), 0});
+      txn.writes.push_back({records::live_key(record.spec.id), records::to_json(record), 0});
+      being_written_[record.spec.id];
+      batch.push_back(std::move(accepting_.front()));
+      accepting_.pop_front();
+    }
+    ++accept_writes_;
+    cluster_.store.commit(
+        std::move(txn),
+        [this, name = part.name, generation = part.generation,
+         batch = std::move(batch)](const StateAnswer& a) mutable {
+          --accept_writes_;
+          on_accepted(name, generation, std::move(batch), a);
+          if (Part* p = cluster_.ready(cluster_.self()); p != nullptr && !accepting_.empty())
+            write_accepted(*p);
+        },
+        Store::Rank::first);
+  }
+}
+
+void Jobs::on_accepted(const std::string& name, std::uint64_t generation, Batch batch, const StateAnswer& a) {
+  Part* part = cluster_.known(name, generation);
+  for (Accepting& one : batch) {
+    const std::string& id = one.record.spec.id;
+    for (Told& told : being_written_[id]) one.told.push_back(std::move(told));
+    being_written_.erase(id);
+  }
+  if (a.ok()) {
+    for (Accepting& one : batch) {
+      const std::string& id = one.record.spec.id;
+      cluster_.context.info("accepted " + id + ": " + std::to_string(one.record.spec.tasks) + " tasks of " +
+                            one.record.spec.team);
+      if (part != nullptr) load(*part, one.record);
+      for (Told& told : one.told) told(known_reply(id, {}, 201));
+    }
+    if (part != nullptr && cluster_.acting() && part->ready()) hooks_.schedule(*part);
+    return;
+  }
+  if (a.outcome == Outcome::conflict) hooks_.doubt_holdings();
+  // Without an answer they may have been accepted, or may be yet: then a later poll, a repeated submission or
+  // the reading of the part's unfinished jobs finds them.
+  if (a.outcome == Outcome::lost && part != nullptr)
+    part->next_reread = std::min(part->next_reread, cluster_.now() + kRereadSoon);
+  auto failed = [&](const std::string& key) {
+    return std::find(a.failed.begin(), a.failed.end(), key) != a.failed.end();
+  };
+  const bool held = a.outcome == Outcome::conflict && !a.failed.empty() && !failed(records::hold_key(name));
+  for (Accepting& one : batch) {
+    const std::string& id = one.record.spec.id;
+    if (a.outcome == Outcome::conflict &&
+        (batch.size() == 1 || failed(records::live_key(id)) || failed(records::job_key(id)))) {
+      // Known already, or the part is no longer ours.
+      for (Told& told : one.told)
+        read_and_tell(
+            id, [told, id](const UserReply& r) { told(r.status == 404 ? unsure(id) : r); }, true);
+    } else if (held) {
+      accepting_.push_front(std::move(one));
+    } else {
+      for (Told& told : one.told) told(unsure(id));
+    }
+  }
 }
 
 // ---- the end of jobs -----------------------------------------------------------------------------
 
-void Jobs::on_cancel(std::uint64_t request, const std::string& id) {
-  cancel(
-      id,
-      [this, request, id](std::optional<Known> known) {
-        if (known && is_final(known->phase)) return answer(request, 200, id, *known);
-        if (known) return unsure(request, id);
-        // Nobody could tell: does it exist at all?
-        cluster_.store.get(records::job_key(id), [this, request, id](const StateAnswer& a) {
-          if (a.outcome != Outcome::absent) return unsure(request, id);
-          UserReply reply;
-          reply.status = 404;
-          reply.id = id;
-          reply.error = "no such job";
-          cluster_.context.act(AnswerUser{request, reply});
-        });
-      },
-      true);
-}
+void Jobs::on_cancel(std::uint64_t request, const std::string& id) { cancel(id, to_user(request), true); }
 
-void Jobs::cancel(const std::string& id, Answer answer, bool may_ask) {
-  if (auto it = finals_.find(id); it != finals_.end()) return answer(it->second);
+void Jobs::cancel(const std::string& id, Told told, bool may_pass_on) {
+  if (auto it = finals_.find(id); it != finals_.end()) return told(known_reply(id, it->second));
+  auto cancel_here = [this, id, told](Part& part, Job& job) {
+    // An award under way would outlive the cancellation, whose write removes only those it knows of.
+    if (job.finalizing || job.ended || job.offered > 0) return told(unsure(id));
+    finalize(part, job, JobPhase::cancelled, told);
+  };
   if (cluster_.acting())
     for (auto& [name, part] : cluster_.parts) {
       auto it = part.jobs.find(id);
-      if (!part.ready() || it == part.jobs.end() || !it->second.owner.empty()) continue;
-      // An award under way would outlive the cancellation, whose write removes only those it knows of.
-      if (it->second.finalizing || it->second.ended || it->second.offered > 0) return answer(std::nullopt);
-      return finalize(part, it->second, JobPhase::cancelled, answer);
-    }
-  cluster_.store.get(records::job_key(id), [this, id, answer, may_ask](const StateAnswer& a) {
-    auto entry = a.ok() && !a.rows.empty() ? records::job_entry(a.rows.front().value) : std::nullopt;
-    if (!entry) return answer(std::nullopt);
-    if (is_final(entry->phase)) {
-      Known known{entry->phase, entry->phase == JobPhase::done ? entry->tasks : 0, 0};
-      remember(id, known);
-      return answer(known);
-    }
-    if (Part* part = cluster_.ready(entry->part)) {
-      return adopt(*part, id, [this, answer, name = entry->part](Job* job) {
-        Part* p = cluster_.ready(name);
-        if (job == nullptr || p == nullptr || job->finalizing || job->ended || job->offered > 0)
-          return answer(std::nullopt);
-        finalize(*p, *job, JobPhase::cancelled, answer);
-      });
+      if (part.ready() && it != part.jobs.end() && it->second.owner.empty())
+        return cancel_here(part, it->second);
     }
-    const std::string holder = cluster_.holder(entry->part);
-    if (!may_ask || holder == cluster_.self()) return answer(std::nullopt);
-    ask({holder}, JobQuery{0, JobQuery::Kind::cancel, id, entry->part}, kCancelWithin, answer);
+  auto pass_on = [this, id, told, may_pass_on](const std::vector<std::string>& hosts) {
+    if (!may_pass_on) return told(unsure(id));
+    ask(hosts, {0, JobQuery::Kind::cancel, id, false, {}}, kCancelWithin, told);
+  };
+  if (auto part = part_of_.find(id);
+      part != part_of_.end() && may_pass_on && cluster_.holder(part->second) != cluster_.self())
+    return pass_on({cluster_.holder(part->second)});
+  cluster_.store.get(records::live_key(id), [this, id, told, pass_on, cancel_here](const StateAnswer& a) {
+    // Not live: whatever else there is to be told of it, it can't be cancelled any more.
+    if (a.outcome == Outcome::absent) return read_and_tell(id, told, false);
+    auto live = a.ok() && !a.rows.empty() ? records::live_job(a.rows.front().value) : std::nullopt;
+    if (!live) return pass_on(peers());
+    learn(*live);
+    const std::string holder = cluster_.holder(live->part);
+    if (holder != cluster_.self()) return pass_on({holder});
+    Part* part = cluster_.ready(live->part);
+    if (part == nullptr || finals_.contains(id)) return told(unsure(id));
+    cancel_here(*part, load(*part, *live));
   });
 }
 
-void Jobs::finalize(Part& part, Job& job, JobPhase phase, Answer answer) {
+void Jobs::finalize(Part& part, Job& job, JobPhase phase, Told told) {
   job.finalizing = true;
-  write_final(part.name, part.generation, job.spec.id, phase, false, std::move(answer));
+  write_final(part.name, part.generation, job.spec.id, phase, false, std::move(told));
 }
 
 void Jobs::write_final(const std::string& name, std::uint64_t generation, const std::string& id,
-                       JobPhase phase, bool in_doubt, Answer answer) {
+                       JobPhase phase, bool in_doubt, Told told) {
   Part* part = cluster_.known(name, generation);
-  if (part == nullptr || !part->jobs.contains(id)) return answer(std::nullopt);
+  if (part == nullptr || !part->jobs.contains(id)) return told(unsure(id));
   Job& job = part->jobs.at(id);
   StateCommit txn;
   txn.conditions = {cluster_.holds(*part)};
-  txn.writes = {
-      {records::job_key(id),
-       records::to_json(records::JobEntry{name, phase, static_cast<std::uint32_t>(job.tasks.size())}), 0},
-      {records::live_key(name, id), std::nullopt, 0}};
+  txn.writes = {{records::job_key(id),
+                 records::to_json(records::JobEntry{phase, static_cast<std::uint32_t>(job.tasks.size())}), 0},
+                {records::live_key(id), std::nullopt, 0}};
   // The awards go in the same write: the winners stop as soon as they miss them.
   for (const auto& [key, winner] : job.awards) txn.writes.push_back({key, std::nullopt, 0});
-  cluster_.store.commit(std::move(txn), [=, this](const StateAnswer& a) {
+  auto written = [=, this](const StateAnswer& a) {
     Part* p = cluster_.known(name, generation);
     if (a.ok()) {
       Known known{phase, 0, 0};
@@ -314,166 +380,200 @@
         Job& j = p->jobs.at(id);
         known.done = j.done;
         j.finalizing = false;
-        j.ended = true;
+        p->end(j);
         for (const auto& [key, winner] : j.awards)
           cluster_.context.act(PeerSend{cluster_.holder(winner), Awarded{winner}});
-        discard_records(*p, j);
         settle(*p);
       }
       remember(id, known);
       cluster_.context.info(id + (phase == JobPhase::done ? " is done" : " is cancelled"));
-      return answer(known);
+      return told(known_reply(id, known));
     }
-    if (p == nullptr || !p->jobs.contains(id)) return answer(std::nullopt);
+    if (p == nullptr || !p->jobs.contains(id)) return told(unsure(id));
     if (a.outcome == Outcome::conflict) hooks_.doubt_holdings();
     const bool doubt = in_doubt || a.outcome == Outcome::lost;
+    told(unsure(id));
     if (!doubt) {
       p->jobs.at(id).finalizing = false;
-      return answer(std::nullopt);
+      return;
     }
     // It may have been written, or may be yet: from here there is no way but forward.
-    answer(std::nullopt);
-    cluster_.context.later(millis(300), [=, this] {
-      write_final(name, generation, id, phase, true, [](std::optional<Known>) {});
-    });
-  });
-}
-
-void Jobs::discard_records(const Part& part, const Job& job) {
-  for (std::size_t first = 0; first < job.tasks.size(); first += records::kChunk) {
-    auto begin = job.recorded.begin() + static_cast<std::ptrdiff_t>(first);
-    auto end = job.recorded.begin() +
-               static_cast<std::ptrdiff_t>(std::min(first + records::kChunk, job.tasks.size()));
-    if (std::find(begin, end, true) != end)
-      garbage_[part.name].push_back(
-          records::done_key(part.name, job.spec.id, static_cast<std::uint32_t>(first / records::kChunk)));
-  }
+    cluster_.context.later(
+        millis(300), [=, this] { write_final(name, generation, id, phase, true, [](const UserReply&) {}); });
+  };
+  cluster_.store.commit(std::move(txn), std::move(written), Store::Rank::first);
 }
 
 /// Makes the wish of ended jobs felt: nothing of them is wanted, and they go once nothing is left.
 void Jobs::settle(Part& part) {
-  std::set<std::string> present;
-  for (auto& [name, m] : part.machines)
-    for (auto& [id, p] : m.tasks) {
-      auto it = part.jobs.find(id.task.job);
-      if (it == part.jobs.end() || !it->second.ended) continue;
-      p.wanted = false;
-      if (p.takes_room()) present.insert(id.task.job);
-    }
-  for (auto it = part.jobs.begin(); it != part.jobs.end();) {
+  std::vector<std::string> over;
+  std::swap(over, part.over);
+  for (std::string& id : over) {
+    auto it = part.jobs.find(id);
+    if (it == part.jobs.end()) continue;
     Job& job = it->second;
-    if (job.ended && !job.finalizing && job.offered == 0 && !present.contains(it->first)) {
-      if (!job.owner.empty()) discard_records(part, job);
-      it = part.jobs.erase(it);
-    } else {
-      ++it;
+    for (std::uint32_t i = 0; job.present > 0 && i < job.tasks.size(); ++i) {
+      const Task& task = job.tasks[i];
+      if (task.state != Task::State::placed) continue;
+      const AttemptId attempt{{id, i}, task.attempt};
+      auto placed = task.machine->tasks.find(attempt);
+      if (placed == task.machine->tasks.end() || !placed->second.wanted) continue;
+      part.change(*task.machine, attempt, placed->second, [](Placement& p) { p.wanted = false; });
+      part.push_to(*task.machine);
     }
+    if (job.present > 0 || job.finalizing || job.offered > 0) {
+      part.over.push_back(std::move(id));
+      continue;
+    }
+    std::erase_if(part.queue, [&](const Ranked& r) { return r.job == &job; });
+    part.jobs.erase(it);
   }
 }
 
 // ---- what finished -------------------------------------------------------------------------------
 
+DoneSlot& Jobs::slot_for(Part& part, const Job& job, std::uint32_t chunk) {
+  const std::pair key{job.spec.id, chunk};
+  const std::size_t tasks =
+      std::min<std::size_t>(records::kChunk, job.tasks.size() - std::size_t{chunk} * records::kChunk);
+  const std::size_t bytes = records::done_bytes(job.spec.id, tasks);
+  const std::size_t most = cluster_.context.settings.state_value_bytes * 9 / 10;
+  std::uint32_t free = 0;
+  DoneSlot* found = nullptr;
+  for (auto& [number, slot] : part.done_slots) {
+    if (slot.chunks.contains(key)) return slot;
+    if (found == nullptr && slot.bytes + bytes <= most) found = &slot;
+    free = number + 1;
+  }
+  if (found == nullptr) found = &part.done_slots[free];
+  found->chunks.insert(key);
+  found->bytes += bytes;
+  return *found;
+}
+
 void Jobs::record(Part& part) {
   if (part.recording || cluster_.now() < part.next_recording) return;
-  const std::size_t room = std::min<std::size_t>(cluster_.context.settings.state_transaction_writes, 8);
+  for (auto& [id, job] : part.jobs) {
+    if (job.ended || job.finalizing) continue;
+    std::uint32_t last = UINT32_MAX;
+    for (std::uint32_t index : job.unrecorded)
+      if (const std::uint32_t chunk = index / records::kChunk; chunk != last) {
+        slot_for(part, job, chunk).dirty = true;
+        last = chunk;
+      }
+  }
   StateCommit txn;
   txn.conditions = {cluster_.holds(part)};
   std::vector<Recorded> batch;
-  for (auto& [id, job] : part.jobs) {
-    if (job.ended || job.finalizing || job.unrecorded.empty() || txn.writes.size() >= room) continue;
-    const std::uint32_t chunk = job.unrecorded.front() / records::kChunk;
-    const std::string key = records::done_key(part.name, id, chunk);
-    if (job.records_in_doubt.contains(chunk)) {
-      read_record(part, id, chunk);
-      return;
-    }
-    Recorded recorded{id, chunk, {}};
-    std::vector<bool> bits(
-        std::min<std::size_t>(records::kChunk, job.tasks.size() - chunk * records::kChunk));
-    for (std::size_t i = 0; i < bits.size(); ++i) bits[i] = job.recorded[chunk * records::kChunk + i];
-    for (std::uint32_t index : job.unrecorded)
-      if (index / records::kChunk == chunk) {
-        bits[index % records::kChunk] = true;
-        recorded.tasks.push_back(index);
+  std::vector<std::uint32_t> slots;
+  std::size_t bytes = 0;
+  for (auto& [number, slot] : part.done_slots) {
+    if (!slot.dirty || slots.size() >= cluster_.context.settings.state_transaction_writes) continue;
+    if (slot.in_doubt) return read_slot(part, number);
+    std::vector<records::DoneBits> value;
+    slot.bytes = 0;
+    for (auto it = slot.chunks.begin(); it != slot.chunks.end();) {
+      const auto& [id, chunk] = *it;
+      auto found = part.jobs.find(id);
+      if (found == part.jobs.end() || found->second.ended) {
+        it = slot.chunks.erase(it);
+        continue;
       }
+      const Job& job = found->second;
+      const std::size_t first = std::size_t{chunk} * records::kChunk;
+      records::DoneBits done{id, chunk, {}};
+      done.bits.resize(std::min<std::size_t>(records::kChunk, job.tasks.size() - first));
+      slot.bytes += records::done_bytes(id, done.bits.size());
+      for (std::size_t i = 0; i < done.bits.size(); ++i) done.bits[i] = job.recorded[first + i];
+      Recorded recorded{id, chunk, {}};
+      for (std::uint32_t index : job.unrecorded)
+        if (index / records::kChunk == chunk) {
+          done.bits[index % records::kChunk] = true;
+          recorded.tasks.push_back(index);
+        }
+      if (!recorded.tasks.empty()) batch.push_back(std::move(recorded));
+      value.push_back(std::move(done));
+      ++it;
+    }
+    // With all its jobs over there is nothing to be kept; the slot is used again.
+    if (value.empty()) {
+      slot.dirty = false;
+      continue;
+    }
+    bytes += slot.bytes;
+    if (bytes > kTransactionBytes && !slots.empty()) break;
     // A late write of ours must not take back what a later one recorded.
-    auto stamp = job.record_stamps.find(chunk);
-    txn.conditions.push_back({key, stamp == job.record_stamps.end() ? 0 : stamp->second});
-    txn.writes.push_back({key, records::bits_to_json(bits), 0});
-    batch.push_back(std::move(recorded));
+    const std::string key = records::done_key(part.name, number);
+    txn.conditions.push_back({key, slot.stamp});
+    txn.writes.push_back({key, records::to_json(value), 0});
+    slots.push_back(number);
   }
   if (txn.writes.empty()) return;
   part.recording = true;
   cluster_.store.commit(std::move(txn), [this, name = part.name, generation = part.generation,
-                                         batch = std::move(batch)](const StateAnswer& a) {
-    if (Part* p = cluster_.known(name, generation)) on_recorded(*p, batch, a);
+                                         batch = std::move(batch), slots](const StateAnswer& a) {
+    if (Part* p = cluster_.known(name, generation)) on_recorded(*p, batch, slots, a);
   });
 }
 
-void Jobs::on_recorded(Part& part, const std::vector<Recorded>& batch, const StateAnswer& a) {
+void Jobs::on_recorded(Part& part, const std::vector<Recorded>& batch,
+                       const std::vector<std::uint32_t>& slots, const StateAnswer& a) {
   part.recording = false;
   part.next_recording = cluster_.now() + kRecordEvery;
   if (a.outcome == Outcome::conflict) hooks_.doubt_holdings();
+  for (std::uint32_t number : slots) {
+    DoneSlot& slot = part.done_slots[number];
+    if (a.ok())
+      slot.stamp = a.revision, slot.dirty = false;
+    else if (a.outcome != Outcome::refused)
+      slot.in_doubt = true;
+  }
+  if (!a.ok()) return;
+  std::set<std::string> owners;
   for (const Recorded& r : batch) {
     auto it = part.jobs.find(r.job);
     if (it == part.jobs.end()) continue;
     Job& job = it->second;
-    if (!a.ok()) {
-      if (a.outcome != Outcome::refused) job.records_in_doubt.insert(r.chunk);
-      continue;
-    }
-    job.record_stamps[r.chunk] = a.revision;
     for (std::uint32_t index : r.tasks) {
       job.recorded[index] = true;
       std::erase(job.unrecorded, index);
+      // Its worker may forget it now; that need not be told before its next report.
     }
-    if (!job.owner.empty())
-      cluster_.context.act(PeerSend{cluster_.holder(job.owner), Progress{job.owner, r.job}});
+    if (!job.owner.empty()) owners.insert(job.owner);
   }
+  for (const std::string& owner : owners)
+    cluster_.context.act(PeerSend{cluster_.holder(owner), Progress{owner}});
 }
 
-void Jobs::read_record(Part& part, const std::string& id, std::uint32_t chunk) {
+void Jobs::read_slot(Part& part, std::uint32_t number) {
   part.recording = true;
-  cluster_.store.get(records::done_key(part.name, id, chunk),
-                     [this, name = part.name, generation = part.generation, id, chunk](const StateAnswer& a) {
+  cluster_.store.get(records::done_key(part.name, number),
+                     [this, name = part.name, generation = part.generation, number](const StateAnswer& a) {
                        Part* p = cluster_.known(name, generation);
                        if (p == nullptr) return;
                        p->recording = false;
-                       auto it = p->jobs.find(id);
-                       if (it == p->jobs.end() || (!a.ok() && a.outcome != Outcome::absent)) return;
-                       it->second.records_in_doubt.erase(chunk);
-                       it->second.record_stamps.erase(chunk);
-                       if (a.ok() && !a.rows.empty()) it->second.record_stamps[chunk] = a.rows.front().stamp;
+                       if (!a.ok() && a.outcome != Outcome::absent) return;
+                       DoneSlot& slot = p->done_slots[number];
+                       slot.in_doubt = false;
+                       slot.stamp = a.rows.empty() ? 0 : a.rows.front().stamp;
                      });
 }
 
-void Jobs::sweep(Part& part) {
-  auto it = garbage_.find(part.name);
-  if (it == garbage_.end() || it->second.empty() || cluster_.store.busy()) return;
-  StateCommit txn;
-  txn.conditions = {cluster_.holds(part)};
-  while (!it->second.empty() && txn.writes.size() < 4) {
-    txn.writes.push_back({it->second.front(), std::nullopt, 0});
-    it->second.pop_front();
-  }
-  // What a failed write leaves behind is removed when the part is loaded next.
-  cluster_.store.commit(std::move(txn), [](const StateAnswer&) {});
-}
-
 void Jobs::reread(Part& part) {
   if (part.rereading || cluster_.now() < part.next_reread) return;
   part.next_reread = cluster_.now() + kRereadEvery;
   part.rereading = true;
-  cluster_.store.list(records::live_prefix(part.name), [this, name = part.name,
-                                                        generation = part.generation](const StateAnswer& a) {
-    Part* p = cluster_.known(name, generation);
-    if (p == nullptr) return;
-    p->rereading = false;
-    if (!a.ok()) return;
-    for (const StateRow& row : a.rows)
-      if (auto record = records::live_job(row.value); record && !finals_.contains(record->spec.id))
-        load(*p, *record);
-  });
+  cluster_.store.list(records::kLivePrefix,
+                      [this, name = part.name, generation = part.generation](const StateAnswer& a) {
+                        Part* p = cluster_.known(name, generation);
+                        if (p == nullptr) return;
+                        p->rereading = false;
+                        if (!a.ok()) return;
+                        for (const StateRow& row : a.rows)
+                          if (auto record = records::live_job(row.value);
+                              record && record->part == name && !finals_.contains(record->spec.id))
+                            load(*p, *record);
+                      });
 }
 
 void Jobs::tick() {
@@ -482,22 +582,28 @@
   for (auto& [id, asked] : asked_)
     if (now >= asked.until) late.push_back(id);
   for (std::uint64_t id : late) {
-    Answer answer = std::move(asked_.at(id).answer);
+    Told told = std::move(asked_.at(id).told);
     asked_.erase(id);
-    answer(std::nullopt);
+    told(unsure({}));
+  }
+  // Nobody waits for what could not be written in time.
+  Part* own = cluster_.ready(cluster_.self());
+  while (!accepting_.empty() && (own == nullptr || cluster_.store.failing())) {
+    for (Told& told : accepting_.front().told) told(unsure(accepting_.front().record.spec.id));
+    accepting_.pop_front();
   }
   if (!cluster_.acting()) return;
+  if (own != nullptr && !accepting_.empty()) write_accepted(*own);
   for (auto& [name, part] : cluster_.parts) {
     if (!part.ready()) continue;
     for (auto& [id, job] : part.jobs)
       if (job.owner.empty() && job.spec.shape == Shape::array && job.done == job.tasks.size() &&
           !job.finalizing && !job.ended && now >= job.retry_at) {
         job.retry_at = now + millis(300);
-        finalize(part, job, JobPhase::done, [](std::optional<Known>) {});
+        finalize(part, job, JobPhase::done, [](const UserReply&) {});
       }
     record(part);
     settle(part);
-    sweep(part);
     reread(part);
   }
 }
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -23,10 +23,9 @@
   void on_reply(const JobReply& reply);
 
   /// Adds a job of a part that is being loaded.
-  void discard(const std::string& part, std::string key) { garbage_[part].push_back(std::move(key)); }
   static Job& load(Part& part, const records::LiveJob& record);
-  /// Whether the job can ever run here; the reason if not.
-  std::optional<std::string> impossible(const JobSpec& spec) const;
+  /// Where a job is, as read just now.
+  void learn(const records::LiveJob& record);
 
  private:
   struct Known {
@@ -34,26 +33,49 @@
     std::uint64_t done = 0;
     std::uint64_t running = 0;
   };
-  using Answer = std::function<void(std::optional<Known>)>;
+  /// Gets the answer for the user, or for the peer that asks for its own.
+  using Told = std::function<void(const UserReply&)>;
   struct Asked {
     Micros until{0};
     std::size_t outstanding = 0;
-    Answer answer;
+    Told told;
+  };
+  /// A submission on its way into the state service, and everybody who waits for it.
+  struct Accepting {
+    records::LiveJob record;
+    std::vector<Told> told;
   };
+  using Batch = std::vector<Accepting>;
+
+  Told to_user(std::uint64_t request);
+  static UserReply known_reply(const std::string& id, const Known& known, int status = 200);
+  static UserReply absent(const std::string& id);
+  static UserReply unsure(const std::string& id, int retry_after_s = 1);
 
   /// What this controller may say of a job on its own: final, or ours under a term that still runs.
-  std::optional<Known> from_memory(const std::string& id);
-  void answer(std::uint64_t request, int status, const std::string& id, const Known& known);
-  void unsure(std::uint64_t request, const std::string& id);
-  void read_and_answer(std::uint64_t request, const std::string& id);
-  void ask(const std::vector<std::string>& hosts, JobQuery query, Micros within, Answer answer);
-  void adopt(Part& part, const std::string& id, std::function<void(Job*)> done);
-  /// Writes the final state; `answer` gets it, or none if that can't be told yet.
-  void finalize(Part& part, Job& job, JobPhase phase, Answer answer);
+  std::optional<Known> from_memory(const std::string& id) const;
+  /// Whether our own part can't take jobs now, or can't write that it does.
+  bool can_accept() const;
+
+  // The same for users and for peers that pass their users' requests on; only the former may be passed on.
+  void submit(const JobSpec& spec, Told told, bool may_pass_on);
+  void poll(const std::string& id, Told told, bool may_pass_on);
+  void cancel(const std::string& id, Told told, bool may_pass_on);
+
+  void read_and_tell(const std::string& id, Told told, bool may_pass_on);
+  /// Asks peers; the first good answer counts, and none of them is "unsure".
+  void ask(const std::vector<std::string>& hosts, JobQuery query, Micros within, Told told);
+  std::vector<std::string> peers() const;
+  /// The reason why a job can never run here, if it can't.
+  std::optional<std::string> impossible(const JobSpec& spec) const;
+
+  void write_accepted(Part& part);
+  void on_accepted(const std::string& part, std::uint64_t generation, Batch batch, const StateAnswer& a);
+  void finalize(Part& part, Job& job, JobPhase phase, Told told);
   void write_final(const std::string& part, std::uint64_t generation, const std::string& job, JobPhase phase,
-                   bool in_doubt, Answer answer);
-  void cancel(const std::string& id, Answer answer, bool may_ask);
+                   bool in_doubt, Told told);
   void settle(Part& part);
+
   /// Tasks of one chunk whose end is being recorded.
   struct Recorded {
     std::string job;
@@ -61,15 +83,16 @@
     std::vector<std::uint32_t> tasks;
   };
   void record(Part& part);
-  void on_recorded(Part& part, const std::vector<Recorded>& batch, const StateAnswer& a);
-  void read_record(Part& part, const std::string& id, std::uint32_t chunk);
+  DoneSlot& slot_for(Part& part, const Job& job, std::uint32_t chunk);
+  void on_recorded(Part& part, const std::vector<Recorded>& batch, const std::vector<std::uint32_t>& slots,
+                   const StateAnswer& a);
+  void read_slot(Part& part, std::uint32_t slot);
   void remember(const std::string& id, Known known);
-  void sweep(Part& part);
   void reread(Part& part);
-  void discard_records(const Part& part, const Job& job);
 
   static constexpr std::size_t kRemembered = 4096;
-  static constexpr std::size_t kQuestions = 256;
+  static constexpr std::size_t kQuestions = 512;
+  static constexpr std::size_t kAcceptWrites = 2;
 
   Cluster& cluster_;
   Fleet& fleet_;
@@ -79,7 +102,9 @@
   std::map<std::string, std::string> part_of_;
   std::map<std::uint64_t, Asked> asked_;
   std::uint64_t next_question_;
-  std::map<std::string, std::deque<std::string>> garbage_;  ///< part -> keys to remove
+  std::deque<Accepting> accepting_;                         ///< not written yet
+  std::map<std::string, std::vector<Told>> being_written_;  ///< who asked again meanwhile, by job
+  std::size_t accept_writes_ = 0;
 };
 
 }  // namespace bendtide
--- a/src/core/overview.cpp
+++ b/src/core/overview.cpp
@@ -66,7 +66,7 @@
                      {"team", job.spec.team},
                      {"tasks", job.tasks.size()},
                      {"waiting", job.waiting.size()},
-                     {"placed", job.running()},
+                     {"placed", job.present},
                      {"done", job.done},
                      {"awards", job.awards.size()},
                      {"no_room_for", job.overflow},
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include <string>
-#include <unordered_set>
+#include <utility>
 
 #include "core/records.h"
 
@@ -42,11 +42,10 @@
   std::vector<Task> tasks;
   std::vector<std::uint32_t> waiting;  ///< exactly the tasks in state waiting
   std::uint32_t done = 0;
-  std::vector<bool> recorded;                            ///< tasks whose end the state service holds
-  std::vector<std::uint32_t> unrecorded;                 ///< done, but not in the state service yet
-  std::map<std::uint32_t, std::uint64_t> record_stamps;  ///< of our done records, by chunk; none: no record
-  std::set<std::uint32_t> records_in_doubt;              ///< chunks whose record has to be read first
-  std::set<std::string> failed_on;                       ///< machines on which a task of it failed
+  std::vector<bool> recorded;             ///< tasks whose end the state service holds
+  std::vector<std::uint32_t> unrecorded;  ///< done, but not in the state service yet
+  std::uint32_t present = 0;              ///< placements of it that take room, of any attempt
+  std::set<std::string> failed_on;        ///< machines on which a task of it failed
   bool succeeded = false;
   Micros retry_at{0};
   int failures = 0;
@@ -88,19 +87,23 @@
     else
       unrecorded.push_back(index);
   }
-  std::uint32_t running() const {
-    return static_cast<std::uint32_t>(std::count_if(
-        tasks.begin(), tasks.end(), [&](const Task& t) { return t.state == Task::State::placed; }));
-  }
+  /// Tasks that are neither done nor waiting: placed here, or awarded elsewhere.
+  std::uint32_t under_way() const { return static_cast<std::uint32_t>(tasks.size() - waiting.size()) - done; }
 };
 
+/// `wanted`, `seen` and `each` are changed through Part::change only, which keeps the sums.
 struct Placement {
   enum class Seen : std::uint8_t { no, fetching, running, saving, ended };
   bool wanted = true;
   Seen seen = Seen::no;
   ExitCause cause = ExitCause::none;
   Resources each;
+  Quota* usage = nullptr;  ///< the sum it counts in: of its team, or of tasks whose job is not known
+  bool of_known_job = false;
+  Micros ends_at{Micros::max()};  ///< expected, once it runs and if it ends by itself
+  std::uint64_t listed_in = 0;    ///< the last account of the worker that lists it
   std::string image;
+  double image_gb = 0;
   Micros placed_at{0};
   Micros running_since{0};
   Micros stop_since{0};            ///< when it was first unwanted
@@ -121,18 +124,22 @@
   std::string zone;
   bool spot = false;
   Resources size;
+  Resources used;    ///< by tasks that take room
+  Resources coming;  ///< the part of it whose tasks are already told to stop
   Micros rented{0};  ///< wall clock
 
   std::uint64_t session = 0;
-  std::uint64_t sequence = 0;
-  bool heard = false;       ///< reported to us since we hold the part
-  bool settled = false;     ///< its tasks are all known: it showed our token, or its lease ran out
-  Micros last_heard{0};     ///< steady clock
-  Micros last_answered{0};  ///< when we last received a report that we answered with 200
-  bool lost = false;        ///< its lease is surely over
-  /// Settled by the end of its lease without a word from it: a report that does not show our token may be a
-  /// late one, of tasks long gone.
-  bool unseen = false;
+  std::uint64_t sequence = 0;           ///< of the newest account
+  std::uint64_t reported_sequence = 0;  ///< of the newest report in this session: a repeat of it is a copy
+  bool heard = false;                   ///< an account under a token of this holding has come
+  bool settled = false;                 ///< its tasks are all known: it was heard, or its lease ran out
+  Micros last_heard{0};                 ///< steady clock
+  Micros last_answered{0};              ///< when we last received a report that we answered with 200
+  bool lost = false;                    ///< its lease is surely over
+  std::uint64_t shown_token = 0;        ///< in its newest account
+  std::uint64_t answered_in = 0;        ///< the last report that we answered with orders
+  std::uint64_t answered_token = 0;     ///< the token in that answer
+  int unheeded = 0;                     ///< signs, in a row, that answers and commands don't reach it
   std::optional<Micros> notice_until;
   bool condemned = false;  ///< to be deleted; nothing is placed on it any more
   bool deleting = false;
@@ -142,27 +149,53 @@
   bool quarantined = false;
   Micros avoid_until{0};
   bool direct_call = false;  ///< direct orders are under way
+  bool push_due = false;     ///< in the part's list of machines to be told something at once
   std::map<AttemptId, Placement> tasks;
-  std::map<std::string, Micros> images;  ///< cached, with their last use
+  struct Image {
+    Micros used{0};
+    double gb = 0;
+  };
+  std::map<std::string, Image> images;  ///< cached, as far as we know
 
-  Resources used() const {
-    Resources sum;
+  Resources free() const { return size - used; }
+  bool idle() const { return tasks.empty(); }
+  /// Room of tasks that are going, or are expected to end by `when`.
+  Resources coming_by(Micros when) const {
+    Resources out;
     for (const auto& [id, p] : tasks)
-      if (p.takes_room()) sum += p.each;
-    return sum;
+      if (p.takes_room() && (!p.wanted || p.ends_at <= when)) out += p.each;
+    return out;
   }
-  Resources free() const { return size - used(); }
-  bool idle() const { return tasks.empty(); }
+};
+
+/// A job that has tasks to start, in the order in which its part serves them.
+struct Ranked {
+  Job* job = nullptr;
+  int lost = 0;  ///< deadline objectives that it misses anyway
+  bool guaranteed = false;
+  bool at_once = false;
+};
+
+/// One record of finished tasks. It holds those of many jobs, so that one write serves all that ended since
+/// the last.
+struct DoneSlot {
+  std::uint64_t stamp = 0;
+  std::set<std::pair<std::string, std::uint32_t>> chunks;  ///< job and chunk of its tasks
+  std::size_t bytes = 0;                                   ///< at most, with every task done
+  bool dirty = false;
+  bool in_doubt = false;  ///< a write without answer: its stamp has to be read
 };
 
 struct Part {
   enum class Stage : std::uint8_t { loading, ready };
   std::string name;
   std::uint64_t token = 0;
-  std::uint64_t generation = 0;  ///< of this holding in this process
+  std::uint64_t first_token = 0;  ///< of this holding: an account that shows less is from before it
+  std::uint64_t generation = 0;   ///< of this holding in this process
   Micros taken_at{0};
   Stage stage = Stage::loading;
   bool renewing_token = false;
+  Micros next_token{0};
   bool token_wanted = false;  ///< a higher token is needed to settle a pinned start
 
   std::map<std::string, Quota> shares;
@@ -184,29 +217,80 @@
   std::map<std::string, Machine> machines;
   std::uint64_t starts = 0;  ///< numbers the attempts under this holding
 
+  std::vector<Ranked> queue;  ///< as of the last pass
+  Micros next_pass{0};        ///< a pass over everything; at once if something has changed
+  Micros next_watch{0};
+  bool unsettled_jobs = false;    ///< some were loaded, and not all machines are settled yet
+  std::vector<std::string> push;  ///< machines to be told something at once
+  std::vector<std::string> over;  ///< jobs that are ended, until nothing of them is left
+  std::map<std::uint32_t, DoneSlot> done_slots;
+
   bool ready() const { return stage == Stage::ready; }
+  void changed() { next_pass = Micros{0}; }
+  void push_to(Machine& m) {
+    if (std::exchange(m.push_due, true)) return;
+    push.push_back(m.name);
+  }
+  /// Ended: nothing of it may start, and all of it has to go.
+  void end(Job& job) {
+    if (std::exchange(job.ended, true)) return;
+    over.push_back(job.spec.id);
+  }
   bool all_settled() const {
     return std::all_of(machines.begin(), machines.end(), [](const auto& m) { return m.second.settled; });
   }
   /// Unique among all attempts that were ever made: tokens are, and they grow.
   std::uint64_t next_attempt() { return (token << 16) + ++starts; }
 
-  /// What a team uses, or might: on a machine not settled any team may use all of it.
-  Quota used(const std::string& team) const {
-    Quota sum;
-    for (const auto& [name, m] : machines) {
-      if (!m.settled) {
-        sum += quota_of(m.size);
-        continue;
-      }
-      for (const auto& [id, p] : m.tasks) {
-        if (!p.takes_room()) continue;
-        auto job = jobs.find(id.task.job);
-        // A task of a job we don't know counts for every team.
-        if (job == jobs.end() || job->second.spec.team == team) sum += quota_of(p.each);
-      }
+  // ---- sums, kept as things change ---------------------------------------------------------------
+
+  /// Changes a placement by `f`, and all sums with it.
+  template <class F>
+  void change(Machine& m, const AttemptId& id, Placement& p, F&& f) {
+    count(m, id, p, -1);
+    f(p);
+    count(m, id, p, 1);
+  }
+  /// A new placement of a task; it counts for its team, or for every team if the job is not known.
+  Placement& place(Machine& m, const AttemptId& id, Job* job) {
+    Placement& p = m.tasks[id];
+    identify(p, m, job);
+    count(m, id, p, 1);
+    return p;
+  }
+  void identify(Placement& p, const Machine& m, const Job* job) {
+    p.of_known_job = job != nullptr;
+    p.each = job != nullptr ? job->spec.each : m.size;
+    if (job != nullptr) p.image = job->spec.image, p.image_gb = job->spec.image_gb;
+    p.usage = job != nullptr ? &usage_[job->spec.team] : &usage_of_unknown_;
+  }
+  void remove(Machine& m, const AttemptId& id) {
+    auto it = m.tasks.find(id);
+    if (it == m.tasks.end()) return;
+    count(m, id, it->second, -1);
+    m.tasks.erase(it);
+  }
+  void settle(Machine& m, bool settled) {
+    if (m.settled == settled) return;
+    count_usage(m, -1);
+    m.settled = settled;
+    count_usage(m, 1);
+  }
+  /// Adds or takes away a machine, or what is on it, in the sums of the part.
+  void count_usage(const Machine& m, int sign) {
+    if (!m.settled) {
+      usage_unsettled_ += quota_of(m.size) * sign;
+      return;
     }
-    return sum;
+    for (const auto& [id, p] : m.tasks)
+      if (p.takes_room()) *p.usage += quota_of(p.each) * sign;
+  }
+
+  /// What a team uses, or might: on a machine not settled any team may use all of it, and a task of a job we
+  /// don't know counts for every team.
+  Quota used(const std::string& team) const {
+    auto it = usage_.find(team);
+    return usage_unsettled_ + usage_of_unknown_ + (it == usage_.end() ? Quota{} : it->second);
   }
   Quota share(const std::string& team) const {
     Quota q;
@@ -215,6 +299,23 @@
     return q;
   }
   Quota free_share(const std::string& team) const { return share(team) - used(team); }
+  /// The same, counted afresh: what the sums are checked against.
+  bool sums_hold() const;
+
+ private:
+  void count(Machine& m, const AttemptId& id, Placement& p, int sign) {
+    if (!p.takes_room()) return;
+    m.used += p.each * sign;
+    if (!p.wanted) m.coming += p.each * sign;
+    if (m.settled) *p.usage += quota_of(p.each) * sign;
+    if (p.of_known_job)
+      if (auto job = jobs.find(id.task.job); job != jobs.end())
+        job->second.present += static_cast<std::uint32_t>(sign);
+  }
+
+  std::map<std::string, Quota> usage_;  ///< on settled machines, by team
+  Quota usage_of_unknown_;
+  Quota usage_unsettled_;
 };
 
 }  // namespace bendtide
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -108,20 +108,20 @@
   });
 }
 
-Value to_json(const JobEntry& e) {
-  return {{"part", e.part}, {"phase", static_cast<int>(e.phase)}, {"tasks", e.tasks}};
-}
+Value to_json(const JobEntry& e) { return {{"phase", static_cast<int>(e.phase)}, {"tasks", e.tasks}}; }
 std::optional<JobEntry> job_entry(const Value& v) {
   return read<JobEntry>(v, [](JobEntry& out, const Value& in) {
-    out.part = in.at("part").get<std::string>();
     out.phase = enumerator(in.at("phase"), JobPhase::cancelled);
     out.tasks = in.at("tasks").get<std::uint32_t>();
   });
 }
 
-Value to_json(const LiveJob& j) { return {{"spec", spec_json(j.spec)}, {"accepted", j.accepted.count()}}; }
+Value to_json(const LiveJob& j) {
+  return {{"part", j.part}, {"spec", spec_json(j.spec)}, {"accepted", j.accepted.count()}};
+}
 std::optional<LiveJob> live_job(const Value& v) {
   return read<LiveJob>(v, [](LiveJob& out, const Value& in) {
+    out.part = in.at("part").get<std::string>();
     out.spec = spec(in.at("spec"));
     out.accepted = micros(in.at("accepted"));
   });
@@ -138,6 +138,7 @@
     for (const Value& range : in.at("ranges"))
       out.ranges.emplace_back(range.at(0).get<std::uint32_t>(), range.at(1).get<std::uint32_t>());
     const Value& job = in.at("job");
+    out.job.part = out.owner;
     out.job.spec = spec(job.at("spec"));
     out.job.accepted = micros(job.at("accepted"));
   });
@@ -188,25 +189,37 @@
   });
 }
 
-Value bits_to_json(const std::vector<bool>& bits) {
+Value to_json(const std::vector<DoneBits>& done) {
   static constexpr char kHex[] = "0123456789abcdef";
-  std::string out;
-  for (std::size_t i = 0; i < bits.size(); i += 4) {
-    int nibble = 0;
-    for (std::size_t j = i; j < std::min(i + 4, bits.size()); ++j) nibble |= bits[j] ? 1 << (j - i) : 0;
-    out += kHex[nibble];
+  Value out = Value::array();
+  for (const DoneBits& d : done) {
+    std::string hex;
+    hex.reserve(d.bits.size() / 4 + 1);
+    for (std::size_t i = 0; i < d.bits.size(); i += 4) {
+      int nibble = 0;
+      for (std::size_t j = i; j < std::min(i + 4, d.bits.size()); ++j) nibble |= d.bits[j] ? 1 << (j - i) : 0;
+      hex += kHex[nibble];
+    }
+    out.push_back({d.job, d.chunk, std::move(hex)});
   }
   return out;
 }
-std::optional<std::vector<bool>> bits(const Value& v) {
-  if (!v.is_string()) return std::nullopt;
-  std::vector<bool> out;
-  for (char c : v.get_ref<const std::string&>()) {
-    int nibble = c >= '0' && c <= '9' ? c - '0' : c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
-    if (nibble < 0) return std::nullopt;
-    for (int j = 0; j < 4; ++j) out.push_back((nibble >> j & 1) != 0);
-  }
-  return out;
+std::size_t done_bytes(const std::string& job, std::size_t tasks) {
+  constexpr std::size_t kRound = 24;  // quotes, commas, brackets, the chunk's number
+  return job.size() + tasks / 4 + 1 + kRound;
+}
+std::optional<std::vector<DoneBits>> done(const Value& v) {
+  return read<std::vector<DoneBits>>(v, [](std::vector<DoneBits>& out, const Value& in) {
+    for (const Value& row : in) {
+      DoneBits d{row.at(0).get<std::string>(), row.at(1).get<std::uint32_t>(), {}};
+      for (char c : row.at(2).get_ref<const std::string&>()) {
+        const int nibble = c >= '0' && c <= '9' ? c - '0' : c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+        if (nibble < 0) throw Value::out_of_range::create(401, "bitmap", &row);
+        for (int j = 0; j < 4; ++j) d.bits.push_back((nibble >> j & 1) != 0);
+      }
+      out.push_back(std::move(d));
+    }
+  });
 }
 
 }  // namespace bendtide::records
--- a/src/core/records.h
+++ b/src/core/records.h
@@ -2,9 +2,9 @@
 //
 //   hold/PART            who holds the part; attached to the holder's lease; its stamp is the part's token
 //   room/PART            the part's share of each team's limit; its stamp is the room version
-//   job/ID               phase and owning part of every job ever accepted
-//   live/PART/ID         the description of each unfinished job
-//   done/PART/ID/CHUNK   finished tasks, as a bitmap of one chunk, written by the part that ran them
+//   live/ID              the description of an unfinished job, and its part: written when it is accepted
+//   job/ID               the final state of a job: in the write that ends it, instead of live/ID
+//   done/PART/SLOT       finished tasks of unfinished jobs, as bitmaps, written by the part that ran them
 //   award/PART/ID/ROUND  tasks of another part's job awarded to PART
 //   claim/MACHINE        the part that a machine belongs to
 //   catalogue            machine types, for restarts while the cloud is down
@@ -23,14 +23,20 @@
   std::map<std::string, Quota> shares;
 };
 struct JobEntry {
-  std::string part;
   JobPhase phase = JobPhase::pending;
   std::uint32_t tasks = 0;
 };
 struct LiveJob {
+  std::string part;
   JobSpec spec;
   Micros accepted{0};  ///< wall clock
 };
+/// Tasks of one job that are done: a bitmap for each chunk of kChunk tasks.
+struct DoneBits {
+  std::string job;
+  std::uint32_t chunk = 0;
+  std::vector<bool> bits;
+};
 struct Award {
   std::string owner;
   std::vector<std::pair<std::uint32_t, std::uint32_t>> ranges;  ///< first task, number of tasks
@@ -48,10 +54,10 @@
 inline std::string hold_key(const std::string& part) { return "hold/" + part; }
 inline std::string room_key(const std::string& part) { return "room/" + part; }
 inline std::string job_key(const std::string& id) { return "job/" + id; }
-inline std::string live_prefix(const std::string& part) { return "live/" + part + "/"; }
-inline std::string live_key(const std::string& part, const std::string& id) { return live_prefix(part) + id; }
-inline std::string done_key(const std::string& part, const std::string& id, std::uint32_t chunk) {
-  return "done/" + part + "/" + id + "/" + std::to_string(chunk);
+inline std::string live_key(const std::string& id) { return "live/" + id; }
+inline std::string done_prefix(const std::string& part) { return "done/" + part + "/"; }
+inline std::string done_key(const std::string& part, std::uint32_t slot) {
+  return done_prefix(part) + std::to_string(slot);
 }
 inline std::string award_prefix(const std::string& part) { return "award/" + part + "/"; }
 inline std::string award_key(const std::string& part, const std::string& id, std::uint64_t round) {
@@ -61,6 +67,7 @@
 /// Tasks in one chunk of a done record: its bitmap takes 1 KiB.
 constexpr std::uint32_t kChunk = 4096;
 inline const std::string kHoldPrefix = "hold/";
+inline const std::string kLivePrefix = "live/";
 inline const std::string kDonePrefix = "done/";
 inline const std::string kAwardPrefix = "award/";
 inline const std::string kClaimPrefix = "claim/";
@@ -77,7 +84,9 @@
 Value to_json(const Award&);
 Value to_json(const Claim&);
 Value to_json(const std::vector<MachineType>&);
-Value bits_to_json(const std::vector<bool>& bits);
+Value to_json(const std::vector<DoneBits>& done);
+/// How much one chunk takes in a done record, at most.
+std::size_t done_bytes(const std::string& job, std::size_t tasks);
 
 /// A record that can't be read is none: the caller drops it and says so.
 std::optional<Hold> hold(const Value&);
@@ -87,6 +96,6 @@
 std::optional<Award> award(const Value&);
 std::optional<Claim> claim(const Value&);
 std::optional<std::vector<MachineType>> catalogue(const Value&);
-std::optional<std::vector<bool>> bits(const Value&);
+std::optional<std::vector<DoneBits>> done(const Value&);
 
 }  // namespace bendtide::records
--- a/src/core/renter.cpp
+++ b/src/core/renter.cpp
@@ -88,7 +88,11 @@
     cluster_.catalogue = a.types;
     for (auto& [name, part] : cluster_.parts)
       for (auto& [machine, m] : part.machines)
-        if (const MachineType* type = cluster_.type(m.type)) m.size = type->size;
+        if (const MachineType* type = cluster_.type(m.type)) {
+          part.count_usage(m, -1);
+          m.size = type->size;
+          part.count_usage(m, 1);
+        }
     again(seconds(30));
   });
   if (!sent) again(millis(200));
@@ -131,18 +135,6 @@
   return best;
 }
 
-Resources Renter::free_within(const Part& part, const Machine& m, Micros span) const {
-  Resources out;
-  for (const auto& [id, p] : m.tasks) {
-    auto job = part.jobs.find(id.task.job);
-    if (!p.takes_room() || job == part.jobs.end()) continue;
-    const bool ends = job->second.spec.shape == Shape::array && p.seen == Placement::Seen::running &&
-                      p.running_since + job->second.spec.estimate < cluster_.now() + span;
-    if (ends || !p.wanted) out += p.each;
-  }
-  return out;
-}
-
 std::map<Renter::Kind, int> Renter::demand(Part& part) {
   std::map<Kind, int> out;
   // Machines that boot, or that are being added in this very pass, hold some of the tasks already.
@@ -156,8 +148,8 @@
     if (m.condemned || type == nullptr) continue;
     if (m.heard) {
       // Room that will be free before a new machine is up saves renting it.
-      if (fleet_.usable(part, m))
-        bins.push_back({{m.type, m.zone, m.spot}, free_within(part, m, type->boot)});
+      if (fleet_.usable(m))
+        bins.push_back({{m.type, m.zone, m.spot}, m.coming_by(cluster_.now() + type->boot)});
       continue;
     }
     // One that takes much longer than usual may never come.
@@ -165,7 +157,7 @@
     bins.push_back({{m.type, m.zone, m.spot}, m.size});
   }
   auto fill = [](Bin& bin, Need& need) {
-    if (!suits(need.job->spec, bin.kind)) return;
+    if (need.tasks <= 0 || bin.free.cpu < need.job->spec.each.cpu || !suits(need.job->spec, bin.kind)) return;
     const std::int64_t n = std::min(need.tasks, bin.free.holds(need.job->spec.each));
     bin.free -= need.job->spec.each * n;
     need.tasks -= n;
@@ -184,12 +176,14 @@
   }
   std::sort(needs.begin(), needs.end(),
             [](const Need& a, const Need& b) { return a.job->spec.priority > b.job->spec.priority; });
+  int machines = 0;
   for (Need& need : needs)
-    while (need.tasks > 0) {
+    while (need.tasks > 0 && machines < kMachinesPerOrder) {
       auto kind = cheapest(need.job->spec, needs);
       need.job->unrentable = !kind;
       if (!kind) break;
       ++out[*kind];
+      ++machines;
       Bin bin{*kind, cluster_.type(kind->type)->size};
       for (Need& other : needs) fill(bin, other);
     }
@@ -243,7 +237,7 @@
             m.zone = kind.zone;
             m.spot = kind.spot;
             m.rented = cluster_.context.wall;
-            fleet_.claim(*p, m, [](bool) {});
+            fleet_.claim(*p, std::move(m));
           }
         }
       });
@@ -270,7 +264,8 @@
     const MachineType* type = cluster_.type(m.type);
     if (type == nullptr) continue;
     const Micros patience = type->boot * 5 / 2 + seconds(5);
-    if (cluster_.context.wall - m.rented > patience && cluster_.now() - part.taken_at > seconds(10)) {
+    if (cluster_.context.wall - m.rented > patience &&
+        cluster_.now() - part.taken_at > cluster_.context.settings.worker_lease) {
       m.condemned = true;
       cluster_.context.info("machine " + name + " does not come up: it is deleted");
     }
@@ -297,7 +292,9 @@
     StateCommit txn;
     txn.conditions = {cluster_.holds(*p)};
     auto flush = [&] {
-      if (!txn.writes.empty()) cluster_.store.commit(txn, [](const StateAnswer&) {});
+      if (!txn.writes.empty())
+        cluster_.store.commit(
+            txn, [](const StateAnswer&) {}, Store::Rank::later);
       txn.writes.clear();
     };
     for (const std::string& name : names) {
@@ -314,25 +311,29 @@
 void Renter::look_for_strays(Part& part) {
   const Micros now = cluster_.now();
   if (now < next_list_) return;
-  const Micros lag = cluster_.context.settings.cloud_list_lag;
-  const bool sent =
-      call(CloudList{}, [this, lag, name = part.name, generation = part.generation](const CloudAnswer& a) {
-        Part* p = cluster_.known(name, generation);
-        if (p == nullptr || !a.ok()) return;
-        for (const CloudMachine& c : a.machines) {
-          if (fleet_.claims().contains(c.name) || fleet_.home_part(c.name, c.zone) != name) continue;
-          if (c.age < lag * 3 + seconds(10)) continue;  // whoever rented it is about to claim it
-          Machine m;
-          m.name = c.name;
-          m.address = c.address;
-          m.type = c.type;
-          m.zone = c.zone;
-          m.spot = c.spot;
-          m.rented = cluster_.context.wall - c.age;
-          fleet_.claim(*p, m, [](bool) {});
-        }
-      });
-  next_list_ = now + (sent ? lag * 3 + seconds(10) : seconds(1));
+  const Micros pause = cluster_.context.settings.cloud_list_lag * 3 + seconds(10);
+  const bool sent = call(CloudList{list_from_},
+                         [this, pause, name = part.name, generation = part.generation](const CloudAnswer& a) {
+                           Part* p = cluster_.known(name, generation);
+                           if (p == nullptr || !a.ok()) return;
+                           for (const CloudMachine& c : a.machines) {
+                             if (fleet_.claims().contains(c.name) || fleet_.home_part(c.name, c.zone) != name)
+                               continue;
+                             if (c.age < pause) continue;  // whoever rented it is about to claim it
+                             Machine m;
+                             m.name = c.name;
+                             m.address = c.address;
+                             m.type = c.type;
+                             m.zone = c.zone;
+                             m.spot = c.spot;
+                             m.rented = cluster_.context.wall - c.age;
+                             fleet_.claim(*p, std::move(m));
+                           }
+                           // Page after page, then from the beginning.
+                           list_from_ = a.more && !a.machines.empty() ? a.machines.back().name : "";
+                           if (!list_from_.empty()) next_list_ = cluster_.now();
+                         });
+  next_list_ = now + (sent ? pause : seconds(1));
 }
 
 }  // namespace bendtide
--- a/src/core/renter.h
+++ b/src/core/renter.h
@@ -39,7 +39,6 @@
     std::int64_t tasks;
   };
   std::optional<Kind> cheapest(const JobSpec& spec, const std::vector<Need>& needs) const;
-  Resources free_within(const Part& part, const Machine& m, Micros span) const;
   static bool suits(const JobSpec& spec, const Kind& kind);
   void refused(const Kind& kind);
   std::string next_charter();
@@ -56,6 +55,7 @@
   Micros next_catalogue_{0};
   bool reading_catalogue_ = false;
   Micros next_list_{0};
+  std::string list_from_;  ///< the next page of the list begins behind it
   Micros next_rent_{0};
 };
 
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr std::int64_t kStopsPerPass = 32;
+constexpr int kMakingRoomPerPass = 4;       ///< jobs for which others may be stopped
+constexpr Micros kPassEvery = millis(500);  ///< if nothing has changed
 
 }  // namespace
 
@@ -33,26 +35,24 @@
   }));
 }
 
-std::vector<Scheduler::Ranked> Scheduler::queue(Part& part) const {
-  std::vector<Ranked> out;
-  std::map<std::string, Quota> used;
+void Scheduler::rank(Part& part) {
+  part.queue.clear();
   for (auto& [id, job] : part.jobs) {
     job.overflow = 0;
     job.short_of_share = false;
     if (!job.can_start(cluster_.now()) || job.unsettled) continue;
-    auto [it, fresh] = used.try_emplace(job.spec.team);
-    if (fresh) it->second = part.used(job.spec.team);
-    out.push_back({&job, objectives_lost(job),
-                   (it->second + quota_of(job.spec.each)).fits_in(guarantee(part, job.spec.team))});
+    const std::string& team = job.spec.team;
+    part.queue.push_back({&job, objectives_lost(job),
+                          (part.used(team) + quota_of(job.spec.each)).fits_in(guarantee(part, team)),
+                          starts_at_once(job.spec)});
   }
-  std::sort(out.begin(), out.end(), [](const Ranked& a, const Ranked& b) {
+  std::sort(part.queue.begin(), part.queue.end(), [](const Ranked& a, const Ranked& b) {
     auto key = [](const Ranked& r) {
       return std::tuple(-static_cast<int>(r.job->spec.priority), r.lost, !r.guaranteed, r.job->due(),
                         r.job->accepted, std::string_view(r.job->spec.id));
     };
     return key(a) < key(b);
   });
-  return out;
 }
 
 /// Some classes are to start sooner than room can be made by stopping others: their objective is shorter than
@@ -66,27 +66,22 @@
 
 std::vector<Scheduler::Room> Scheduler::rooms(Part& part) const {
   std::vector<Room> out;
-  for (auto& [name, m] : part.machines) {
-    if (!fleet_.usable(part, m)) continue;
-    Room room{&m, m.free(), {}};
-    for (const auto& [id, p] : m.tasks)
-      if (!p.wanted && p.takes_room()) room.coming += p.each;
-    out.push_back(room);
-  }
+  for (auto& [name, m] : part.machines)
+    if (fleet_.usable(m)) out.push_back({&m, m.free(), m.coming});
   return out;
 }
 
-std::map<std::string, std::int64_t> Scheduler::zones_of(const Part& part, const Job& job) {
-  std::map<std::string, std::int64_t> out;
+Scheduler::PerZone Scheduler::zones_of(const Part& part, const Job& job) {
+  PerZone out;
   if (!job.spec.needs_one_decider()) return out;
   for (const auto& [name, m] : part.machines)
-    for (const auto& [id, p] : m.tasks)
-      if (id.task.job == job.spec.id && p.takes_room()) ++out[m.zone];
+    for (auto it = m.tasks.lower_bound(AttemptId{{job.spec.id, 0}, 0});
+         it != m.tasks.end() && it->first.task.job == job.spec.id; ++it)
+      if (it->second.takes_room()) ++out[m.zone];
   return out;
 }
 
-bool Scheduler::allowed(const Job& job, const Machine& m,
-                        const std::map<std::string, std::int64_t>& per_zone) const {
+bool Scheduler::allowed(const Job& job, const Machine& m, const PerZone& per_zone) {
   const JobSpec& s = job.spec;
   if (m.spot && !s.spot) return false;
   if (s.zone && *s.zone != m.zone) return false;
@@ -99,77 +94,136 @@
   return true;
 }
 
-Scheduler::Room* Scheduler::pick(const Job& job, std::uint32_t index, std::vector<Room>& rooms,
-                                 const std::map<std::string, std::int64_t>& per_zone) const {
-  Room* best = nullptr;
-  // Caching machines go first. Among those the fullest, so that others run empty and are returned; where the
-  // image has to be fetched anyway, the roomiest.
-  auto key = [&](const Room& r) {
-    const bool cached = r.machine->images.contains(job.spec.image);
-    return std::tuple(cached, r.machine->spot && job.spec.spot, cached ? -r.free.cpu : r.free.cpu);
-  };
-  const bool at_once = starts_at_once(job.spec);
-  for (Room& r : rooms) {
-    const Resources kept = at_once || r.machine->spot ? Resources{} : at_once_task_;
-    if (!(job.spec.each + kept).fits_in(r.free) || !allowed(job, *r.machine, per_zone)) continue;
-    if (job.failed_on.contains(r.machine->name) && rooms.size() > job.failed_on.size()) continue;
+Resources Scheduler::open_to(const Ranked& ranked, const Room& room) const {
+  return ranked.at_once || room.machine->spot ? room.free : room.free - at_once_task_;
+}
+
+void Scheduler::place(Part& part, const Ranked& ranked, Room& room, PerZone& per_zone) {
+  Job& job = *ranked.job;
+  Machine& m = *room.machine;
+  const Quota each = quota_of(job.spec.each);
+  // A job that fails everywhere gets one try at a time.
+  const bool one_at_a_time = job.suspect();
+  while (!job.waiting.empty() && job.spec.each.fits_in(open_to(ranked, room)) && allowed(job, m, per_zone)) {
+    if (!each.fits_in(part.free_share(job.spec.team))) {
+      job.short_of_share = true;
+      return;
+    }
+    const std::uint32_t index = job.waiting.back();
     const TaskId task{job.spec.id, index};
-    auto held = r.machine->tasks.lower_bound(AttemptId{task, 0});
-    if (held != r.machine->tasks.end() && held->first.task == task) continue;
-    if (best == nullptr || key(r) > key(*best)) best = &r;
+    auto held = m.tasks.lower_bound(AttemptId{task, 0});
+    if (held != m.tasks.end() && held->first.task == task) return;  // an earlier attempt of it is still there
+    const AttemptId id{task, part.next_attempt()};
+    part.place(m, id, &job).placed_at = cluster_.now();
+    job.leave_waiting(index, {Task::State::placed, &m, id.attempt});
+    room.free -= job.spec.each;
+    m.idle_since = cluster_.now();
+    // Tasks waiting for the same image share its fetch: it counts as cached from now on.
+    m.images[job.spec.image] = {cluster_.now(), job.spec.image_gb};
+    if (job.spec.needs_one_decider()) ++per_zone[m.zone];
+    part.push_to(m);
+    if (one_at_a_time) return;
   }
-  return best;
 }
 
-void Scheduler::place(Part& part, Job& job, std::uint32_t index, Room& room) {
-  Machine& m = *room.machine;
-  const AttemptId id{{job.spec.id, index}, part.next_attempt()};
-  Placement& p = m.tasks[id];
-  p.each = job.spec.each;
-  p.image = job.spec.image;
-  p.placed_at = cluster_.now();
-  job.leave_waiting(index, {Task::State::placed, &m, id.attempt});
-  room.free -= job.spec.each;
-  m.idle_since = cluster_.now();
-  // Tasks waiting for the same image share its fetch: it counts as cached from now on.
-  m.images[job.spec.image] = cluster_.now();
+void Scheduler::place_all(Part& part, const Ranked& ranked, std::vector<Room>& rooms, PerZone& per_zone) {
+  const Job& job = *ranked.job;
+  struct Candidate {
+    // Caching machines go first. Among those the fullest, so that others run empty and are returned; where
+    // the image has to be fetched anyway, the roomiest.
+    std::tuple<bool, bool, std::int64_t> key;
+    Room* room;
+  };
+  std::vector<Candidate> candidates;
+  for (Room& r : rooms) {
+    if (!job.spec.each.fits_in(open_to(ranked, r)) || !allowed(job, *r.machine, per_zone)) continue;
+    if (job.failed_on.contains(r.machine->name) && part.machines.size() > job.failed_on.size()) continue;
+    const bool cached = r.machine->images.contains(job.spec.image);
+    candidates.push_back({{cached, r.machine->spot && job.spec.spot, cached ? -r.free.cpu : r.free.cpu}, &r});
+  }
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const Candidate& a, const Candidate& b) { return a.key > b.key; });
+  for (const Candidate& c : candidates) {
+    place(part, ranked, *c.room, per_zone);
+    if (job.waiting.empty() || job.short_of_share || job.suspect()) return;
+  }
 }
 
 void Scheduler::pass(Part& part) {
-  std::vector<Ranked> ranked = queue(part);
-  if (ranked.empty()) return;
+  if (cluster_.now() < part.next_pass) return;
+  part.next_pass = cluster_.now() + kPassEvery;
+  rank(part);
+  if (part.queue.empty()) return;
   std::vector<Room> free = rooms(part);
-  std::map<std::string, Quota> used;
-  for (const Ranked& r : ranked) {
+  // What does not even hold the smallest task that waits is of no use to any.
+  std::int64_t smallest = INT64_MAX;
+  for (const Ranked& r : part.queue) {
+    smallest = std::min(smallest, r.job->spec.each.cpu);
+    if (r.at_once && r.job->spec.each.cpu > at_once_task_.cpu) at_once_task_ = r.job->spec.each;
+  }
+  auto useless = [&](const Room& r) { return r.free.cpu < smallest; };
+  std::vector<Room> open = free;
+  std::erase_if(open, useless);
+  const Losers may_lose = losers(part);
+  auto may_make_room = [&](const Job& job) {
+    if (may_lose.lowest < job.spec.priority) return true;
+    const auto& over = may_lose.over_guarantee;
+    return job.unrentable && over.size() > (over.contains(job.spec.team) ? 1u : 0u);
+  };
+  int attempts = kMakingRoomPerPass;
+  for (const Ranked& r : part.queue) {
     Job& job = *r.job;
-    if (starts_at_once(job.spec) && job.spec.each.cpu > at_once_task_.cpu) at_once_task_ = job.spec.each;
-    auto [team, fresh] = used.try_emplace(job.spec.team);
-    if (fresh) team->second = part.used(job.spec.team);
-    const Quota each = quota_of(job.spec.each);
-    auto per_zone = zones_of(part, job);
-    // A job that fails everywhere gets one try at a time.
-    std::size_t tries = job.suspect() ? 1 : job.waiting.size();
-    while (!job.waiting.empty() && tries > 0) {
-      if (!(team->second + each).fits_in(part.share(job.spec.team))) {
-        job.short_of_share = true;
-        break;
-      }
-      const std::uint32_t index = job.waiting.back();
-      Room* room = pick(job, index, free, per_zone);
-      if (room == nullptr) break;
-      place(part, job, index, *room);
-      team->second += each;
-      ++per_zone[room->machine->zone];
-      --tries;
-    }
+    PerZone per_zone = zones_of(part, job);
+    if (!open.empty()) place_all(part, r, open, per_zone);
+    std::erase_if(open, useless);
+    if (!job.waiting.empty() && !quota_of(job.spec.each).fits_in(part.free_share(job.spec.team)))
+      job.short_of_share = true;
     if (!job.suspect()) job.overflow = static_cast<std::uint32_t>(job.waiting.size());
     if (job.overflow == 0) job.refused = job.unrentable = false;
-    if (job.overflow > 0) make_room(part, r, free, per_zone, team->second);
+    if (job.overflow > 0 && attempts > 0 && may_make_room(job)) {
+      --attempts;
+      for (Room& room : free) room.free = room.machine->free();
+      make_room(part, r, free, per_zone);
+    }
   }
 }
 
+void Scheduler::fill(Part& part, Machine& machine) {
+  if (part.queue.empty() || !fleet_.usable(machine)) return;
+  Room room{&machine, machine.free(), {}};
+  // Among equals those go first whose image is here already.
+  const Ranked* first = nullptr;
+  auto equal = [&](const Ranked& r) {
+    return std::tuple(r.job->spec.priority, r.lost, r.guaranteed) ==
+           std::tuple(first->job->spec.priority, first->lost, first->guaranteed);
+  };
+  for (const bool cached_only : {true, false})
+    for (const Ranked& r : part.queue) {
+      const Job& job = *r.job;
+      if (!job.can_start(cluster_.now()) || job.unsettled || job.failed_on.contains(machine.name)) continue;
+      if (first == nullptr) first = &r;
+      if (cached_only && (!equal(r) || !machine.images.contains(job.spec.image))) continue;
+      if (!job.spec.each.fits_in(open_to(r, room))) continue;
+      PerZone per_zone = zones_of(part, job);
+      place(part, r, room, per_zone);
+    }
+}
+
+Scheduler::Losers Scheduler::losers(const Part& part) const {
+  Losers out;
+  for (const auto& [id, job] : part.jobs) {
+    if (job.present == 0) continue;
+    out.lowest = std::min(out.lowest, job.spec.priority);
+    const std::string& team = job.spec.team;
+    if (!out.over_guarantee.contains(team) && !part.used(team).fits_in(guarantee(part, team)))
+      out.over_guarantee.insert(team);
+  }
+  return out;
+}
+
 void Scheduler::make_room(Part& part, const Ranked& ranked, std::vector<Room>& rooms,
-                          const std::map<std::string, std::int64_t>& per_zone, const Quota& used_by_team) {
+                          const PerZone& per_zone) {
+  const Quota used_by_team = part.used(ranked.job->spec.team);
   const Job& job = *ranked.job;
   const Resources& each = job.spec.each;
   const Quota spare = part.share(job.spec.team) - used_by_team;
@@ -221,7 +275,8 @@
       if (needed <= 0) return;
       const Job& loser = part.jobs.at(id->task.job);
       if (!may_stop(loser)) continue;
-      p->wanted = false;
+      part.change(*r.machine, *id, *p, [](Placement& q) { q.wanted = false; });
+      part.push_to(*r.machine);
       r.coming += p->each;
       left.try_emplace(loser.spec.team, part.used(loser.spec.team)).first->second -= quota_of(p->each);
       take();
@@ -248,20 +303,14 @@
   bool cached = false;
   const Micros soon = seconds(5);
   for (auto& [name, m] : part.machines) {
-    if (!fleet_.usable(part, m) || !allowed(probe, m, {})) continue;
+    if (!fleet_.usable(m) || !allowed(probe, m, {})) continue;
     Resources free = m.free();
     if (!m.spot && !call.at_once) free -= at_once_task_;
     const std::int64_t n = free.holds(call.each);
     now_room += n;
     cached |= n > 0 && m.images.contains(call.image);
-    for (const auto& [id, p] : m.tasks) {
-      auto job = part.jobs.find(id.task.job);
-      if (!p.takes_room() || job == part.jobs.end()) continue;
-      const bool ends_soon = job->second.spec.shape == Shape::array && p.seen == Placement::Seen::running &&
-                             p.running_since + job->second.spec.estimate < cluster_.now() + soon;
-      if (!p.wanted || ends_soon) free += p.each;
-    }
-    soon_room += free.holds(call.each) - n;
+    if (now_room < call.tasks && !ours_wait)
+      soon_room += (free + m.coming_by(cluster_.now() + soon)).holds(call.each) - n;
   }
   const std::int64_t now_offer = std::min({now_room, within_share, std::int64_t{call.tasks}});
   if (now_offer > 0) {
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -9,8 +9,11 @@
  public:
   Scheduler(Cluster& cluster, Fleet& fleet) : cluster_(cluster), fleet_(fleet) {}
 
-  /// Places what can be placed; leaves in each job how many tasks found no room.
+  /// Places what can be placed; leaves in each job how many tasks found no room. Does nothing unless
+  /// something has changed since the last pass, or a while has gone by.
   void pass(Part& part);
+  /// Places on one machine what waited at the last pass, so that the answer to its report brings it new work.
+  void fill(Part& part, Machine& machine);
   /// How many tasks of a call this part could take, and how soon.
   struct Offer {
     std::uint32_t tasks = 0;
@@ -25,26 +28,29 @@
   struct Room {
     Machine* machine;
     Resources free;
-    Resources coming;  ///< of tasks already told to stop
-  };
-  struct Ranked {
-    Job* job;
-    int lost;
-    bool guaranteed;
+    Resources coming;  ///< of tasks already told to stop, as far as nobody was promised it
   };
+  using PerZone = std::map<std::string, std::int64_t>;
 
   int objectives_lost(const Job& job) const;
-  std::vector<Ranked> queue(Part& part) const;
+  void rank(Part& part);
   std::vector<Room> rooms(Part& part) const;
-  bool allowed(const Job& job, const Machine& m, const std::map<std::string, std::int64_t>& per_zone) const;
-  Room* pick(const Job& job, std::uint32_t index, std::vector<Room>& rooms,
-             const std::map<std::string, std::int64_t>& per_zone) const;
+  static bool allowed(const Job& job, const Machine& m, const PerZone& per_zone);
+  /// The room that the job's tasks may take on a machine.
+  Resources open_to(const Ranked& ranked, const Room& room) const;
+  /// Places as many waiting tasks of a job as fit on a machine and into the share.
+  void place(Part& part, const Ranked& ranked, Room& room, PerZone& per_zone);
+  void place_all(Part& part, const Ranked& ranked, std::vector<Room>& rooms, PerZone& per_zone);
+  /// Whose tasks may be stopped for others.
+  struct Losers {
+    Priority lowest = Priority::production;
+    std::set<std::string> over_guarantee;  ///< teams that use more
+  };
+  Losers losers(const Part& part) const;
   /// Stops tasks that have to give way. The room is there once their machines have shown them gone.
-  void make_room(Part& part, const Ranked& ranked, std::vector<Room>& rooms,
-                 const std::map<std::string, std::int64_t>& per_zone, const Quota& used_by_team);
-  void place(Part& part, Job& job, std::uint32_t index, Room& room);
+  void make_room(Part& part, const Ranked& ranked, std::vector<Room>& rooms, const PerZone& per_zone);
   /// Where tasks of the job are, or may be.
-  static std::map<std::string, std::int64_t> zones_of(const Part& part, const Job& job);
+  static PerZone zones_of(const Part& part, const Job& job);
 
   Cluster& cluster_;
   Fleet& fleet_;
--- a/src/wire/names.h
+++ b/src/wire/names.h
@@ -78,6 +78,7 @@
 inline constexpr char kKey[] = "path";
 inline constexpr char kValue[] = "v";
 inline constexpr char kStamp[] = "stamp";
+inline constexpr char kFailed[] = "failed";
 inline constexpr char kEpoch[] = "epoch";
 inline constexpr char kLease[] = "mooring";
 inline constexpr char kUnder[] = "under";
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -368,6 +368,9 @@
     }
     if (status == 409) {
       out.outcome = StateAnswer::Outcome::conflict;
+      if (const json* failed = find(v, kFailed); failed != nullptr && failed->is_array())
+        for (const json& key : *failed)
+          if (key.is_string()) out.failed.push_back(key.get<std::string>());
       return out;
     }
     if (status == 400) {
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -17,15 +17,22 @@
   call.disclosed = true;
   call.priority = Priority::production;
   call.deadline_in = seconds(-3);
-  return {JobQuery{7, JobQuery::Kind::cancel, "run-1", "node-0"},
-          JobReply{7, true, JobPhase::done, 300, 0},
+  JobSpec spec;
+  spec.id = "run-1";
+  spec.zone = "east";
+  spec.image_gb = 1.25;
+  spec.deadline = seconds(90);
+  return {JobQuery{7, JobQuery::Kind::submit, "run-1", true, spec},
+          JobReply{7, 201, JobPhase::done, 300, 0},
           call,
           Proposal{9, 3, "node-1", 12, seconds(2), 730, 4711, {8000, 0}},
           Awarded{"node-1"},
-          Progress{"node-0", "run-1"},
+          Progress{"node-0"},
           HandBack{"node-2"},
           Lend{"a", "b", "team", {1, 2}},
-          Scarce{"large", "east", true}};
+          Scarce{"large", "east", true},
+          Wellbeing{true, 3},
+          Resign{"node-1", 4711}};
 }
 
 TEST(Codec, EveryMessageIsReadBackTheSame) {
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -18,6 +18,7 @@
   EXPECT_EQ(day.checker().summary(), "");
   EXPECT_EQ(day.unfinished(), std::vector<std::string>{});
   EXPECT_EQ(day.state().too_large(), 0u);
+  EXPECT_EQ(day.wrong_sums(), 0u);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, TroubledDay,
--- a/tests/sim/day.cpp
+++ b/tests/sim/day.cpp
@@ -129,6 +129,7 @@
 void Day::tick(Node& node, std::uint64_t life) {
   if (!node.up || node.life != life) return;
   on_node(node, life, [](Controller& c) { c.tick(); });
+  for (const auto& [name, part] : node.core->cluster().parts) wrong_sums_ += part.sums_hold() ? 0 : 1;
   after(millis(50), [this, &node, life] { tick(node, life); });
 }
 
--- a/tests/sim/day.h
+++ b/tests/sim/day.h
@@ -44,6 +44,8 @@
   std::vector<std::string> unfinished() const;
   const StateService& state() const { return state_; }
   std::uint64_t awards() const;
+  /// How often a part's sums differed from what they stand for.
+  std::size_t wrong_sums() const { return wrong_sums_; }
 
  private:
   struct Node {
@@ -125,6 +127,7 @@
     std::vector<std::function<void()>> parked;
   };
   std::map<std::pair<std::string, std::string>, Cut> cuts_;
+  std::size_t wrong_sums_ = 0;
   std::uint64_t lives_ = 0;
   std::uint64_t awards_ = 0;
 };
--- a/tests/sim/services.cpp
+++ b/tests/sim/services.cpp
@@ -112,11 +112,13 @@
     if (w.contains(kLease) && !leases_.contains(w.at(kLease).get<std::uint64_t>()))
       return {400, json{{kError, "no such lease"}}.dump()};
   }
+  json failed = json::array();
   for (const json& c : body.at(kWhen)) {
     auto it = data_.find(c.at(kKey).get<std::string>());
     const std::uint64_t stamp = it == data_.end() ? 0 : it->second.stamp;
-    if (stamp != c.at(kStamp).get<std::uint64_t>()) return {409, json{{kEpoch, revision_}}.dump()};
+    if (stamp != c.at(kStamp).get<std::uint64_t>()) failed.push_back(c.at(kKey));
   }
+  if (!failed.empty()) return {409, json{{kFailed, failed}, {kEpoch, revision_}}.dump()};
   if (!writes.empty()) ++revision_;
   for (const json& w : writes) {
     if (w.contains(kPut))
