Services share machines and no room is kept for them on each

Cause: one service on nearly every machine kept hundreds of machines from running empty; room made by stopping others is seen at once since stops go out directly.

--- a/src/codec/codec.cpp
+++ b/src/codec/codec.cpp
@@ -166,7 +166,7 @@
 requires std::is_same_v<std::remove_const_t<M>, Call>
 void describe(A& a, M& m) {
   a.fields(m.id, m.round, m.from_part, m.job, m.team, m.tasks, m.each, m.types, m.zone, m.spot, m.image,
-           m.at_once, m.spare, m.disclosed);
+           m.spare, m.disclosed);
   a.field(m.priority, Priority::production), a.field(m.deadline_in);
 }
 template <class A, class M>
--- a/src/core/calls.h
+++ b/src/core/calls.h
@@ -161,8 +161,7 @@
   std::string zone;
   bool spot = false;
   std::string image;
-  bool at_once = false;  ///< it may use room that is kept for such tasks
-  Quota spare;           ///< share that the initiator can hand over with the tasks
+  Quota spare;  ///< share that the initiator can hand over with the tasks
   bool disclosed = false;
   Priority priority = Priority::normal;  ///< disclosed from the second round on
   Micros deadline_in{0};                 ///< disclosed; 0: none
--- a/src/core/contract.cpp
+++ b/src/core/contract.cpp
@@ -110,7 +110,6 @@
     c.zone = job.spec.zone.value_or("");
     c.spot = job.spec.spot;
     c.image = job.spec.image;
-    c.at_once = scheduler_.starts_at_once(job.spec);
     c.spare = part.free_share(job.spec.team);
     c.spare = {std::max<std::int64_t>(0, c.spare.cpu), std::max<std::int64_t>(0, c.spare.gpu)};
     for (const auto& [name, route] : cluster_.routes)
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -100,6 +100,7 @@
   Resources each;
   Quota* usage = nullptr;  ///< the sum it counts in: of its team, or of tasks whose job is not known
   bool of_known_job = false;
+  bool of_service = false;
   Micros ends_at{Micros::max()};  ///< expected, once it runs and if it ends by itself
   std::uint64_t listed_in = 0;    ///< the last account of the worker that lists it
   std::string image;
@@ -126,6 +127,7 @@
   Resources size;
   Resources used;    ///< by tasks that take room
   Resources coming;  ///< the part of it whose tasks are already told to stop
+  int services = 0;  ///< tasks among them that run until they are cancelled
   Micros rented{0};  ///< wall clock
 
   std::uint64_t session = 0;
@@ -173,7 +175,6 @@
   Job* job = nullptr;
   int lost = 0;  ///< deadline objectives that it misses anyway
   bool guaranteed = false;
-  bool at_once = false;
 };
 
 /// One record of finished tasks. It holds those of many jobs, so that one write serves all that ended since
@@ -260,6 +261,7 @@
   }
   void identify(Placement& p, const Machine& m, const Job* job) {
     p.of_known_job = job != nullptr;
+    p.of_service = job != nullptr && job->spec.shape == Shape::service;
     p.each = job != nullptr ? job->spec.each : m.size;
     if (job != nullptr) p.image = job->spec.image, p.image_gb = job->spec.image_gb;
     p.usage = job != nullptr ? &usage_[job->spec.team] : &usage_of_unknown_;
@@ -307,6 +309,7 @@
     if (!p.takes_room()) return;
     m.used += p.each * sign;
     if (!p.wanted) m.coming += p.each * sign;
+    if (p.of_service) m.services += sign;
     if (m.settled) *p.usage += quota_of(p.each) * sign;
     if (p.of_known_job)
       if (auto job = jobs.find(id.task.job); job != jobs.end())
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -43,8 +43,7 @@
     if (!job.can_start(cluster_.now()) || job.unsettled) continue;
     const std::string& team = job.spec.team;
     part.queue.push_back({&job, objectives_lost(job),
-                          (part.used(team) + quota_of(job.spec.each)).fits_in(guarantee(part, team)),
-                          starts_at_once(job.spec)});
+                          (part.used(team) + quota_of(job.spec.each)).fits_in(guarantee(part, team))});
   }
   std::sort(part.queue.begin(), part.queue.end(), [](const Ranked& a, const Ranked& b) {
     auto key = [](const Ranked& r) {
@@ -55,15 +54,6 @@
   });
 }
 
-/// Some classes are to start sooner than room can be made by stopping others: their objective is shorter than
-/// the time between two reports. For these, each ordinary machine keeps room for one task.
-bool Scheduler::starts_at_once(const JobSpec& spec) const {
-  const Settings& s = cluster_.context.settings;
-  return std::any_of(s.objectives.begin(), s.objectives.end(), [&](const Objective& o) {
-    return o.kind == "wait" && o.job_class == spec.job_class && o.within < s.report_every;
-  });
-}
-
 std::vector<Scheduler::Room> Scheduler::rooms(Part& part) const {
   std::vector<Room> out;
   for (auto& [name, m] : part.machines)
@@ -94,17 +84,13 @@
   return true;
 }
 
-Resources Scheduler::open_to(const Ranked& ranked, const Room& room) const {
-  return ranked.at_once || room.machine->spot ? room.free : room.free - at_once_task_;
-}
-
 void Scheduler::place(Part& part, const Ranked& ranked, Room& room, PerZone& per_zone) {
   Job& job = *ranked.job;
   Machine& m = *room.machine;
   const Quota each = quota_of(job.spec.each);
   // A job that fails everywhere gets one try at a time.
   const bool one_at_a_time = job.suspect();
-  while (!job.waiting.empty() && job.spec.each.fits_in(open_to(ranked, room)) && allowed(job, m, per_zone)) {
+  while (!job.waiting.empty() && job.spec.each.fits_in(room.free) && allowed(job, m, per_zone)) {
     if (!each.fits_in(part.free_share(job.spec.team))) {
       job.short_of_share = true;
       return;
@@ -129,17 +115,21 @@
 void Scheduler::place_all(Part& part, const Ranked& ranked, std::vector<Room>& rooms, PerZone& per_zone) {
   const Job& job = *ranked.job;
   struct Candidate {
-    // Caching machines go first. Among those the fullest, so that others run empty and are returned; where
-    // the image has to be fetched anyway, the roomiest.
-    std::tuple<bool, bool, std::int64_t> key;
+    // Caching machines go first. Among those the ones of its kind, as services keep a machine for long; then
+    // the fullest, so that others run empty and are returned; where the image has to be fetched anyway, the
+    // roomiest.
+    std::tuple<bool, bool, bool, std::int64_t> key;
     Room* room;
   };
   std::vector<Candidate> candidates;
   for (Room& r : rooms) {
-    if (!job.spec.each.fits_in(open_to(ranked, r)) || !allowed(job, *r.machine, per_zone)) continue;
+    if (!job.spec.each.fits_in(r.free) || !allowed(job, *r.machine, per_zone)) continue;
     if (job.failed_on.contains(r.machine->name) && part.machines.size() > job.failed_on.size()) continue;
     const bool cached = r.machine->images.contains(job.spec.image);
-    candidates.push_back({{cached, r.machine->spot && job.spec.spot, cached ? -r.free.cpu : r.free.cpu}, &r});
+    const bool of_its_kind = (r.machine->services > 0) == (job.spec.shape == Shape::service);
+    const bool fullest = cached || job.spec.shape == Shape::service;
+    candidates.push_back(
+        {{cached, of_its_kind, r.machine->spot && job.spec.spot, fullest ? -r.free.cpu : r.free.cpu}, &r});
   }
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const Candidate& a, const Candidate& b) { return a.key > b.key; });
@@ -157,10 +147,7 @@
   std::vector<Room> free = rooms(part);
   // What does not even hold the smallest task that waits is of no use to any.
   std::int64_t smallest = INT64_MAX;
-  for (const Ranked& r : part.queue) {
-    smallest = std::min(smallest, r.job->spec.each.cpu);
-    if (r.at_once && r.job->spec.each.cpu > at_once_task_.cpu) at_once_task_ = r.job->spec.each;
-  }
+  for (const Ranked& r : part.queue) smallest = std::min(smallest, r.job->spec.each.cpu);
   auto useless = [&](const Room& r) { return r.free.cpu < smallest; };
   std::vector<Room> open = free;
   std::erase_if(open, useless);
@@ -203,7 +190,7 @@
       if (!job.can_start(cluster_.now()) || job.unsettled || job.failed_on.contains(machine.name)) continue;
       if (first == nullptr) first = &r;
       if (cached_only && (!equal(r) || !machine.images.contains(job.spec.image))) continue;
-      if (!job.spec.each.fits_in(open_to(r, room))) continue;
+      if (!job.spec.each.fits_in(room.free)) continue;
       PerZone per_zone = zones_of(part, job);
       place(part, r, room, per_zone);
     }
@@ -277,6 +264,8 @@
       if (!may_stop(loser)) continue;
       part.change(*r.machine, *id, *p, [](Placement& q) { q.wanted = false; });
       part.push_to(*r.machine);
+      cluster_.context.debug("task of " + id->task.job + " on " + r.machine->name + " makes room for " +
+                             job.spec.id + (loser.spec.priority < job.spec.priority ? "" : " (guarantee)"));
       r.coming += p->each;
       left.try_emplace(loser.spec.team, part.used(loser.spec.team)).first->second -= quota_of(p->each);
       take();
@@ -304,8 +293,7 @@
   const Micros soon = seconds(5);
   for (auto& [name, m] : part.machines) {
     if (!fleet_.usable(m) || !allowed(probe, m, {})) continue;
-    Resources free = m.free();
-    if (!m.spot && !call.at_once) free -= at_once_task_;
+    const Resources free = m.free();
     const std::int64_t n = free.holds(call.each);
     now_room += n;
     cached |= n > 0 && m.images.contains(call.image);
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -20,7 +20,6 @@
     Micros delay{0};
   };
   Offer offer(Part& part, const Call& call) const;
-  bool starts_at_once(const JobSpec& spec) const;
   /// The share of a team's guarantee that falls to this part.
   Quota guarantee(const Part& part, const std::string& team) const;
 
@@ -36,8 +35,6 @@
   void rank(Part& part);
   std::vector<Room> rooms(Part& part) const;
   static bool allowed(const Job& job, const Machine& m, const PerZone& per_zone);
-  /// The room that the job's tasks may take on a machine.
-  Resources open_to(const Ranked& ranked, const Room& room) const;
   /// Places as many waiting tasks of a job as fit on a machine and into the share.
   void place(Part& part, const Ranked& ranked, Room& room, PerZone& per_zone);
   void place_all(Part& part, const Ranked& ranked, std::vector<Room>& rooms, PerZone& per_zone);
@@ -54,7 +51,6 @@
 
   Cluster& cluster_;
   Fleet& fleet_;
-  Resources at_once_task_;  ///< the largest seen of the classes that are to start at once
 };
 
 }  // namespace bendtide
