--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -57,6 +57,11 @@
       if (t.name == name) return &t;
     return nullptr;
   }
+  /// How long a machine takes to fetch the job's image, alone.
+  Micros fetch_time(const JobSpec& spec, const std::string& machine_type) const {
+    const MachineType* t = type(machine_type);
+    return t == nullptr || t->fetch_gb_per_s <= 0 ? Micros{0} : seconds(spec.image_gb / t->fetch_gb_per_s);
+  }
   /// The host that holds a part, or its own host if that is not known.
   std::string holder(const std::string& part) const {
     auto it = routes.find(part);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -89,24 +89,29 @@
   m.zone = report.zone;
   m.spot = report.spot;
   m.rented = cluster_.context.wall;
-  claim(*part, std::move(m));
+  claim(*part, std::move(m), true);
 }
 
-void Fleet::claim(Part& part, Machine machine) {
+void Fleet::claim(Part& part, Machine machine, bool up) {
   if (!claiming_.insert(machine.name).second) return;
-  to_claim_[part.name].push_back(std::move(machine));
+  ToClaim& queue = to_claim_[part.name];
+  (up ? queue.up : queue.booting).push_back(std::move(machine));
 }
 
 /// Several claims go in one write. One that is taken already makes it fail: then each is tried alone.
+/// Machines that are up wait to be used, and are claimed in small writes among those that users wait for.
 void Fleet::write_claims(Part& part) {
   auto it = to_claim_.find(part.name);
-  if (it == to_claim_.end() || it->second.empty() || writing_claims_ >= kClaimWrites) return;
-  std::size_t most = cluster_.context.settings.state_transaction_writes;
+  if (it == to_claim_.end() || writing_claims_ > 0) return;
+  const bool up = !it->second.up.empty();
+  std::deque<Machine>& queue = up ? it->second.up : it->second.booting;
+  if (queue.empty()) return;
+  std::size_t most = cluster_.context.settings.state_transaction_writes / (up ? 4 : 1);
   if (claims_alone_ > 0) --claims_alone_, most = 1;
   std::vector<Machine> batch;
-  while (!it->second.empty() && batch.size() < most) {
-    batch.push_back(std::move(it->second.front()));
-    it->second.pop_front();
+  while (!queue.empty() && batch.size() < std::max<std::size_t>(1, most)) {
+    batch.push_back(std::move(queue.front()));
+    queue.pop_front();
   }
   StateCommit txn;
   txn.conditions = {cluster_.holds(part)};
@@ -118,8 +123,8 @@
   ++writing_claims_;
   cluster_.store.commit(
       std::move(txn),
-      [this, name = part.name, generation = part.generation,
-       batch = std::move(batch)](const StateAnswer& a) mutable {
+      [this, name = part.name, generation = part.generation, batch = std::move(batch),
+       up](const StateAnswer& a) mutable {
         --writing_claims_;
         Part* p = cluster_.known(name, generation);
         if (a.ok() && p != nullptr) {
@@ -133,7 +138,8 @@
         if (a.outcome == StateAnswer::Outcome::conflict) hooks_.doubt_holdings();
         if (p != nullptr && batch.size() > 1) {
           claims_alone_ += batch.size();
-          for (Machine& m : batch) to_claim_[name].push_back(std::move(m));
+          ToClaim& again = to_claim_[name];
+          for (Machine& m : batch) (up ? again.up : again.booting).push_back(std::move(m));
           return;
         }
         for (const Machine& m : batch) {
@@ -142,7 +148,7 @@
           if (p != nullptr) find_claim(m.name);
         }
       },
-      Store::Rank::later);
+      up ? Store::Rank::first : Store::Rank::later);
 }
 
 void Fleet::find_claim(const std::string& machine) {
@@ -183,7 +189,8 @@
 }
 
 void Fleet::on_part_dropped(const std::string& part) {
-  for (const Machine& m : to_claim_[part]) claiming_.erase(m.name);
+  for (const auto& queue : {to_claim_[part].up, to_claim_[part].booting})
+    for (const Machine& m : queue) claiming_.erase(m.name);
   to_claim_.erase(part);
 }
 
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -24,8 +24,8 @@
   void probe(const std::string& address, std::function<void(bool)> done);
   /// Sends the orders that should not wait for the next report.
   void push_orders(Part& part);
-  /// A machine that no claim names is claimed for `part`, with the next write.
-  void claim(Part& part, Machine machine);
+  /// A machine that no claim names is claimed for `part`, with one of the next writes.
+  void claim(Part& part, Machine machine, bool up);
   /// The machine and everything on it are gone.
   void gone(Part& part, const std::string& machine);
 
@@ -51,6 +51,10 @@
     std::vector<AttemptId> starts;
   };
 
+  struct ToClaim {
+    std::deque<Machine> up, booting;
+  };
+
   void resolve_claim(std::uint64_t request, const Report& report);
   void on_own_report(std::uint64_t request, Part& part, const Report& report);
   void apply(Part& part, Machine& m, const Report& report, bool is_report);
@@ -71,15 +75,14 @@
 
   static constexpr std::size_t kDeferred = 512;
   static constexpr std::size_t kDirectCalls = 24;
-  static constexpr std::size_t kClaimWrites = 2;
   static constexpr std::size_t kRememberedDeleted = 4096;
   static constexpr std::size_t kOrders = 200;  ///< in one message: far below a line of 64 KiB
 
   Cluster& cluster_;
   Hooks hooks_;
-  std::map<std::string, std::string> claims_;            ///< machine -> part
-  std::vector<Deferred> deferred_;                       ///< reports that wait for a claim or for the part
-  std::map<std::string, std::deque<Machine>> to_claim_;  ///< by part
+  std::map<std::string, std::string> claims_;  ///< machine -> part
+  std::vector<Deferred> deferred_;             ///< reports that wait for a claim or for the part
+  std::map<std::string, ToClaim> to_claim_;    ///< by part
   std::set<std::string> claiming_;
   std::size_t writing_claims_ = 0;
   std::size_t claims_alone_ = 0;   ///< that many claims go one by one, after a write of several failed
--- a/src/core/renter.cpp
+++ b/src/core/renter.cpp
@@ -237,7 +237,7 @@
             m.zone = kind.zone;
             m.spot = kind.spot;
             m.rented = cluster_.context.wall;
-            fleet_.claim(*p, std::move(m));
+            fleet_.claim(*p, std::move(m), false);
           }
         }
       });
@@ -327,7 +327,7 @@
                              m.zone = c.zone;
                              m.spot = c.spot;
                              m.rented = cluster_.context.wall - c.age;
-                             fleet_.claim(*p, std::move(m));
+                             fleet_.claim(*p, std::move(m), true);
                            }
                            // Page after page, then from the beginning.
                            list_from_ = a.more && !a.machines.empty() ? a.machines.back().name : "";
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr std::int64_t kStopsPerPass = 32;
+constexpr int kShortFetch = 10;             ///< a fetch is short if the run takes this many times longer
 constexpr int kMakingRoomPerPass = 4;       ///< jobs for which others may be stopped
 constexpr Micros kPassEvery = millis(500);  ///< if nothing has changed
 
@@ -114,22 +115,24 @@
 
 void Scheduler::place_all(Part& part, const Ranked& ranked, std::vector<Room>& rooms, PerZone& per_zone) {
   const Job& job = *ranked.job;
+  // Caching machines go first, unless a fetch is short beside the run. Then the ones of its kind, as services
+  // keep a machine for long; then the fullest, so that others run empty and are returned; where the image has
+  // to be fetched anyway, the roomiest.
   struct Candidate {
-    // Caching machines go first. Among those the ones of its kind, as services keep a machine for long; then
-    // the fullest, so that others run empty and are returned; where the image has to be fetched anyway, the
-    // roomiest.
     std::tuple<bool, bool, bool, std::int64_t> key;
     Room* room;
   };
+  const bool service = job.spec.shape == Shape::service;
   std::vector<Candidate> candidates;
   for (Room& r : rooms) {
-    if (!job.spec.each.fits_in(r.free) || !allowed(job, *r.machine, per_zone)) continue;
-    if (job.failed_on.contains(r.machine->name) && part.machines.size() > job.failed_on.size()) continue;
-    const bool cached = r.machine->images.contains(job.spec.image);
-    const bool of_its_kind = (r.machine->services > 0) == (job.spec.shape == Shape::service);
-    const bool fullest = cached || job.spec.shape == Shape::service;
-    candidates.push_back(
-        {{cached, of_its_kind, r.machine->spot && job.spec.spot, fullest ? -r.free.cpu : r.free.cpu}, &r});
+    const Machine& m = *r.machine;
+    if (!job.spec.each.fits_in(r.free) || !allowed(job, m, per_zone)) continue;
+    if (job.failed_on.contains(m.name) && part.machines.size() > job.failed_on.size()) continue;
+    const bool short_fetch = cluster_.fetch_time(job.spec, m.type) * kShortFetch < job.spec.estimate;
+    const bool cached = short_fetch || m.images.contains(job.spec.image);
+    candidates.push_back({{cached, (m.services > 0) == service, m.spot && job.spec.spot,
+                           cached || service ? -r.free.cpu : r.free.cpu},
+                          &r});
   }
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const Candidate& a, const Candidate& b) { return a.key > b.key; });
@@ -231,6 +234,10 @@
     if (fresh) it->second = part.used(victim.spec.team);
     return !it->second.fits_in(guarantee(part, victim.spec.team));
   };
+  // Services gather on few machines, as they keep them for long.
+  if (job.spec.shape == Shape::service)
+    std::stable_sort(rooms.begin(), rooms.end(),
+                     [](const Room& a, const Room& b) { return a.machine->services > b.machine->services; });
   for (Room& r : rooms) {
     if (needed <= 0) return;
     if (!allowed(job, *r.machine, per_zone)) continue;
