Claims are kept in blocks, those of one home's machines made one after the other

Cause: 294 machines up and 606 rented at the start took a write each, so that acceptances and placing waited.

--- /dev/null
+++ b/src/core/claims.cpp
@@ -0,0 +1,267 @@
+#include "core/claims.h"
+
+namespace bendtide {
+
+using Outcome = StateAnswer::Outcome;
+
+namespace {
+
+constexpr Micros kReadEvery = seconds(1);
+constexpr Micros kRewriteEvery = seconds(2);
+
+/// The number at the end of a name, which spreads machines evenly.
+std::uint64_t trailing_number(const std::string& name) {
+  std::size_t begin = name.size();
+  while (begin > 0 && name.size() - begin < 18 && name[begin - 1] >= '0' && name[begin - 1] <= '9') --begin;
+  return begin == name.size() ? name.size() : std::stoull(name.substr(begin));
+}
+
+records::ClaimedMachine record_of(const Machine& m) {
+  return {m.name, m.type, m.zone, m.spot, m.address, m.rented};
+}
+
+Machine machine_of(const records::ClaimedMachine& claim) {
+  Machine m;
+  m.name = claim.name;
+  m.type = claim.type;
+  m.zone = claim.zone;
+  m.spot = claim.spot;
+  m.address = claim.address;
+  m.rented = claim.rented;
+  return m;
+}
+
+}  // namespace
+
+std::string Claims::home_part(const std::string& machine, const std::string& zone) const {
+  const Settings& s = cluster_.context.settings;
+  std::vector<std::string> near, all{s.host};
+  if (s.zone == zone) near.push_back(s.host);
+  for (const Peer& peer : s.peers) {
+    all.push_back(peer.host);
+    if (peer.zone == zone) near.push_back(peer.host);
+  }
+  std::vector<std::string>& choice = near.empty() ? all : near;
+  std::sort(choice.begin(), choice.end());
+  return choice[trailing_number(machine) % choice.size()];
+}
+
+void Claims::want(Part& part, Machine machine) {
+  if (part_of_.contains(machine.name) || !wanted_names_.insert(machine.name).second) return;
+  wanted_[part.name].push_back(std::move(machine));
+}
+
+void Claims::forget(Part& part, const Machine& machine) {
+  part_of_.erase(machine.name);
+  if (auto it = part.claim_blocks.find(machine.claim_block); it != part.claim_blocks.end())
+    it->second.dirty = true;
+}
+
+void Claims::on_part_dropped(const std::string& part) {
+  for (const Machine& m : wanted_[part]) wanted_names_.erase(m.name);
+  wanted_.erase(part);
+}
+
+void Claims::tick() {
+  if (doubted_ && !reading_ && cluster_.now() >= next_reading_) relearn();
+  if (!cluster_.acting()) return;
+  for (auto& [name, part] : cluster_.parts) {
+    if (!part.ready()) continue;
+    if (!writing_ && !doubted_ && !reading_) write_new(part);
+    if (!writing_ && cluster_.now() >= next_rewrite_) rewrite(part);
+  }
+}
+
+// ---- reading ---------------------------------------------------------------------------------------
+
+/// The homes' records come first in key order: they are at most older than the blocks read with them, and
+/// then the next write fails.
+void Claims::learn(const std::vector<StateRow>& rows) {
+  home_stamps_.clear();
+  part_of_.clear();
+  for (const StateRow& row : rows) {
+    const auto key = records::split_key(row.key);
+    if (key.size() != 3) continue;
+    if (key[1] == records::kHomes) {
+      home_stamps_[key[2]] = row.stamp;
+      continue;
+    }
+    if (auto claims = records::claims(row.value))
+      for (const records::ClaimedMachine& c : *claims) part_of_[c.name] = key[1];
+  }
+  // What is gone but not written yet.
+  for (auto& [name, part] : cluster_.parts)
+    if (part.ready())
+      std::erase_if(part_of_, [&](const auto& claim) {
+        return claim.second == name && !part.machines.contains(claim.first);
+      });
+}
+
+void Claims::load(Part& part, const std::vector<StateRow>& rows) {
+  learn(rows);
+  for (const StateRow& row : rows) {
+    const auto key = records::split_key(row.key);
+    if (key.size() != 3 || key[1] != part.name) continue;
+    const auto number = static_cast<std::uint32_t>(std::strtoul(key[2].c_str(), nullptr, 10));
+    part.claim_blocks[number] = {row.stamp, false, false};
+    auto claims = records::claims(row.value);
+    if (!claims) continue;
+    for (const records::ClaimedMachine& c : *claims) {
+      Machine m = machine_of(c);
+      m.claim_block = number;
+      hooks_.claimed(part, m, false);
+    }
+  }
+}
+
+void Claims::relearn() {
+  reading_ = true;
+  doubted_ = false;
+  next_reading_ = cluster_.now() + kReadEvery;
+  cluster_.store.list(records::kClaimPrefix, [this](const StateAnswer& a) {
+    reading_ = false;
+    if (!a.ok()) {
+      doubted_ = true;
+      return;
+    }
+    // Blocks of ours that we don't know: a write of ours without answer was made after all.
+    for (auto& [name, part] : cluster_.parts) {
+      if (!part.ready()) continue;
+      for (const StateRow& row : a.rows) {
+        const auto key = records::split_key(row.key);
+        if (key.size() != 3 || key[1] != name) continue;
+        const auto number = static_cast<std::uint32_t>(std::strtoul(key[2].c_str(), nullptr, 10));
+        auto [block, fresh] = part.claim_blocks.try_emplace(number);
+        if (!fresh) {
+          if (std::exchange(block->second.in_doubt, false)) block->second.stamp = row.stamp;
+          continue;
+        }
+        block->second.stamp = row.stamp;
+        auto claims = records::claims(row.value);
+        if (!claims) continue;
+        for (const records::ClaimedMachine& c : *claims) {
+          Machine m = machine_of(c);
+          m.claim_block = number;
+          hooks_.claimed(part, m, true);
+        }
+      }
+      // A block in doubt that is not there is no more: its removal was made.
+      std::erase_if(part.claim_blocks, [](const auto& b) { return b.second.in_doubt; });
+    }
+    learn(a.rows);
+    for (auto& [part, machines] : wanted_)
+      std::erase_if(machines, [&](const Machine& m) {
+        return part_of_.contains(m.name) && wanted_names_.erase(m.name) > 0;
+      });
+    hooks_.learned();
+  });
+}
+
+// ---- writing ---------------------------------------------------------------------------------------
+
+void Claims::write_new(Part& part) {
+  auto wanted = wanted_.find(part.name);
+  if (wanted == wanted_.end() || wanted->second.empty()) return;
+  const Settings& s = cluster_.context.settings;
+  std::vector<Machine> batch;
+  std::vector<records::ClaimedMachine> value;
+  std::set<std::string> homes;
+  std::size_t bytes = 0;
+  while (!wanted->second.empty()) {
+    Machine& m = wanted->second.front();
+    bytes += records::claim_bytes(record_of(m));
+    homes.insert(home_part(m.name, m.zone));
+    if (!batch.empty() && bytes > s.state_value_bytes * 9 / 10) break;
+    value.push_back(record_of(m));
+    batch.push_back(std::move(m));
+    wanted->second.pop_front();
+  }
+  const std::uint32_t block = part.claim_blocks.empty() ? 0 : part.claim_blocks.rbegin()->first + 1;
+  StateCommit txn;
+  txn.conditions = {cluster_.holds(part), {records::claim_key(part.name, block), 0}};
+  txn.writes = {{records::claim_key(part.name, block), records::to_json(value), 0}};
+  for (const std::string& home : homes) {
+    txn.conditions.push_back({records::home_key(home), home_stamps_[home]});
+    txn.writes.push_back({records::home_key(home), Value(part.name), 0});
+  }
+  writing_ = true;
+  cluster_.store.commit(std::move(txn), [this, name = part.name, generation = part.generation, block, homes,
+                                         batch = std::move(batch)](const StateAnswer& a) mutable {
+    writing_ = false;
+    on_written(name, generation, block, std::move(batch), homes, a);
+  });
+}
+
+void Claims::on_written(const std::string& name, std::uint64_t generation, std::uint32_t block,
+                        std::vector<Machine> batch, const std::set<std::string>& homes,
+                        const StateAnswer& a) {
+  Part* part = cluster_.known(name, generation);
+  if (a.ok()) {
+    for (const std::string& home : homes) home_stamps_[home] = a.revision;
+    for (Machine& m : batch) {
+      wanted_names_.erase(m.name);
+      part_of_[m.name] = name;
+      m.claim_block = block;
+      // Nobody used these machines before they were claimed: nothing unknown can be on them.
+      if (part != nullptr) hooks_.claimed(*part, m, true);
+    }
+    if (part != nullptr) part->claim_blocks[block] = {a.revision, false, false};
+    hooks_.learned();
+    return;
+  }
+  if (a.outcome == Outcome::conflict) hooks_.doubt_holdings();
+  // Somebody claimed meanwhile, or our own write was made without an answer: read, then try again.
+  if (a.outcome != Outcome::refused) doubt();
+  for (Machine& m : batch) {
+    if (part != nullptr)
+      wanted_[name].push_back(std::move(m));
+    else
+      wanted_names_.erase(m.name);
+  }
+}
+
+std::vector<records::ClaimedMachine> Claims::machines_of(const Part& part, std::uint32_t block) const {
+  std::vector<records::ClaimedMachine> out;
+  for (const auto& [name, m] : part.machines)
+    if (m.claim_block == block) out.push_back(record_of(m));
+  return out;
+}
+
+/// Blocks whose machines are gone in part are written anew, or removed.
+void Claims::rewrite(Part& part) {
+  StateCommit txn;
+  txn.conditions = {cluster_.holds(part)};
+  std::vector<std::pair<std::uint32_t, bool>> blocks;  // and whether it is removed
+  for (auto& [number, block] : part.claim_blocks) {
+    if (!block.dirty || block.in_doubt) continue;
+    if (txn.writes.size() >= 4) break;
+    const std::vector<records::ClaimedMachine> left = machines_of(part, number);
+    const std::string key = records::claim_key(part.name, number);
+    txn.conditions.push_back({key, block.stamp});
+    txn.writes.push_back({key, left.empty() ? std::nullopt : std::optional(records::to_json(left)), 0});
+    blocks.emplace_back(number, left.empty());
+    block.dirty = false;
+  }
+  if (txn.writes.empty()) return;
+  next_rewrite_ = cluster_.now() + kRewriteEvery;
+  cluster_.store.commit(
+      std::move(txn),
+      [this, name = part.name, generation = part.generation, blocks](const StateAnswer& a) {
+        Part* p = cluster_.known(name, generation);
+        if (p == nullptr) return;
+        for (const auto& [number, removed] : blocks) {
+          ClaimBlock& block = p->claim_blocks[number];
+          if (a.ok()) {
+            block.stamp = a.revision;
+            if (removed) p->claim_blocks.erase(number);
+          } else {
+            block.dirty = true;
+            block.in_doubt = a.outcome != Outcome::refused;
+          }
+        }
+        if (!a.ok() && a.outcome != Outcome::refused) doubt();
+      },
+      Store::Rank::later);
+}
+
+}  // namespace bendtide
--- /dev/null
+++ b/src/core/claims.h
@@ -0,0 +1,67 @@
+// Which part each machine belongs to. A claim is written before the machine is put to any use, and a machine
+// is never claimed twice.
+//
+// Claims are kept in blocks, several machines in one record. What keeps two parts from claiming one machine
+// is the record of its home part (home_part): every claim of a machine rewrites it, on condition that nobody
+// did since the claims were last read. So the claims of the machines of one home are made one after the
+// other, each in the knowledge of all before it.
+#pragma once
+
+#include <deque>
+
+#include "core/cluster.h"
+
+namespace bendtide {
+
+class Claims {
+ public:
+  struct Hooks {
+    /// A machine is claimed. Settled: nobody can have used it before.
+    std::function<void(Part&, const Machine&, bool settled)> claimed;
+    std::function<void()> learned;  ///< the claims have been read
+    std::function<void()> doubt_holdings;
+  };
+  Claims(Cluster& cluster, Hooks hooks) : cluster_(cluster), hooks_(std::move(hooks)) {}
+
+  /// Writes what is to be written.
+  void tick();
+  /// A machine that nobody is known to have claimed: it is claimed for `part` with one of the next writes.
+  void want(Part& part, Machine machine);
+  /// A machine of a part is gone.
+  void forget(Part& part, const Machine& machine);
+  /// Reads all claims once more, before long.
+  void doubt() { doubted_ = true; }
+  /// All claims, as read for a part that is being loaded: its machines are added, not settled.
+  void load(Part& part, const std::vector<StateRow>& rows);
+  void on_part_dropped(const std::string& part);
+
+  const std::string* part_of(const std::string& machine) const {
+    auto it = part_of_.find(machine);
+    return it == part_of_.end() ? nullptr : &it->second;
+  }
+  /// The part that takes a machine which nobody claimed: its zone's controllers come first.
+  std::string home_part(const std::string& machine, const std::string& zone) const;
+
+ private:
+  void learn(const std::vector<StateRow>& rows);
+  void relearn();
+  void write_new(Part& part);
+  void on_written(const std::string& part, std::uint64_t generation, std::uint32_t block,
+                  std::vector<Machine> batch, const std::set<std::string>& homes, const StateAnswer& a);
+  void rewrite(Part& part);
+  std::vector<records::ClaimedMachine> machines_of(const Part& part, std::uint32_t block) const;
+
+  Cluster& cluster_;
+  Hooks hooks_;
+  std::map<std::string, std::string> part_of_;         ///< machine -> part
+  std::map<std::string, std::uint64_t> home_stamps_;   ///< as of the reading that part_of_ is from
+  std::map<std::string, std::deque<Machine>> wanted_;  ///< by part
+  std::set<std::string> wanted_names_;
+  bool writing_ = false;
+  bool reading_ = false;
+  bool doubted_ = false;
+  Micros next_reading_{0};
+  Micros next_rewrite_{0};
+};
+
+}  // namespace bendtide
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -197,14 +197,8 @@
 
 void Controller::loaded(Part& part, const std::vector<StateRow>& live, const std::vector<StateRow>& claims,
                         const std::vector<StateRow>& awards, const std::vector<StateRow>& done) {
-  for (const StateRow& row : claims) {
-    auto claim = records::claim(row.value);
-    if (!claim) continue;
-    const std::string name = row.key.substr(records::kClaimPrefix.size());
-    fleet_.claims()[name] = claim->part;
-    // An earlier holder may have started anything on it.
-    if (claim->part == part.name) fleet_.add(part, Fleet::machine_of(name, *claim), false);
-  }
+  // An earlier holder may have started anything on its machines.
+  fleet_.claims().load(part, claims);
   for (const StateRow& row : live) {
     auto record = records::live_job(row.value);
     if (!record) continue;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -22,16 +22,13 @@
   return Placement::Seen::ended;
 }
 
-/// The number at the end of a name, which spreads machines evenly.
-std::uint64_t trailing_number(const std::string& name) {
-  std::size_t begin = name.size();
-  while (begin > 0 && name.size() - begin < 18 && name[begin - 1] >= '0' && name[begin - 1] <= '9') --begin;
-  return begin == name.size() ? name.size() : std::stoull(name.substr(begin));
-}
-
 }  // namespace
 
-Fleet::Fleet(Cluster& cluster, Hooks hooks) : cluster_(cluster), hooks_(std::move(hooks)) {}
+Fleet::Fleet(Cluster& cluster, Hooks hooks)
+    : cluster_(cluster),
+      hooks_(std::move(hooks)),
+      claims_(cluster, {[this](Part& p, const Machine& m, bool settled) { add(p, m, settled); },
+                        [this] { resume_deferred(); }, hooks_.doubt_holdings}) {}
 
 void Fleet::answer(std::uint64_t request, int status, std::string redirect) {
   if (!redirect.empty()) ++cluster_.passed_on[redirect];
@@ -40,48 +37,35 @@
 
 // ---- whose machine is it? ------------------------------------------------------------------------
 
-std::string Fleet::home_part(const std::string& machine, const std::string& zone) const {
-  const Settings& s = cluster_.context.settings;
-  std::vector<std::string> near, all{s.host};
-  if (s.zone == zone) near.push_back(s.host);
-  for (const Peer& peer : s.peers) {
-    all.push_back(peer.host);
-    if (peer.zone == zone) near.push_back(peer.host);
-  }
-  std::vector<std::string>& choice = near.empty() ? all : near;
-  std::sort(choice.begin(), choice.end());
-  return choice[trailing_number(machine) % choice.size()];
-}
-
 void Fleet::on_report(std::uint64_t request, const Report& report) {
   if (!cluster_.acting()) return answer(request, 503);
-  auto claim = claims_.find(report.machine);
-  if (claim == claims_.end()) return resolve_claim(request, report);
-  if (Part* part = cluster_.held(claim->second)) {
+  const std::string* name = claims_.part_of(report.machine);
+  if (name == nullptr) return on_unclaimed(request, report);
+  if (Part* part = cluster_.held(*name)) {
     if (part->ready()) return on_own_report(request, *part, report);
-    // The part is being loaded.
-    if (deferred_.size() >= kDeferred) return answer(request, 503);
-    deferred_.push_back({request, report, cluster_.now()});
-    return;
+    return defer(request, report);  // the part is being loaded
   }
-  std::string holder = cluster_.holder(claim->second);
-  if (holder == cluster_.self()) return answer(request, 503);
-  answer(request, 421, holder);
+  const std::string holder = cluster_.holder(*name);
+  holder == cluster_.self() ? answer(request, 503) : answer(request, 421, holder);
+}
+
+void Fleet::defer(std::uint64_t request, const Report& report) {
+  if (deferred_.size() >= kDeferred) return answer(request, 503);
+  deferred_.push_back({request, report, cluster_.now()});
 }
 
-void Fleet::resolve_claim(std::uint64_t request, const Report& report) {
+void Fleet::on_unclaimed(std::uint64_t request, const Report& report) {
   // Only the holder of its home part claims a machine; everybody else need not read anything.
-  const std::string home = home_part(report.machine, report.zone);
+  const std::string home = claims_.home_part(report.machine, report.zone);
   Part* part = cluster_.held(home);
   if (part == nullptr) {
     const std::string holder = cluster_.holder(home);
     return holder == cluster_.self() ? answer(request, 503) : answer(request, 421, holder);
   }
-  if (!part->ready() || deleted_.contains(report.machine) || deferred_.size() >= kDeferred)
-    return answer(request, 503);
-  deferred_.push_back({request, report, cluster_.now()});
+  if (!part->ready() || deleted_.contains(report.machine)) return answer(request, 503);
+  defer(request, report);
   // A machine that nobody claimed was never given a token: this one was claimed by somebody, or deleted.
-  if (report.token != 0) return find_claim(report.machine);
+  if (report.token != 0) return claims_.doubt();
   Machine m;
   m.name = report.machine;
   m.address = report.address;
@@ -89,94 +73,10 @@
   m.zone = report.zone;
   m.spot = report.spot;
   m.rented = cluster_.context.wall;
-  claim(*part, std::move(m), true);
-}
-
-void Fleet::claim(Part& part, Machine machine, bool up) {
-  if (!claiming_.insert(machine.name).second) return;
-  ToClaim& queue = to_claim_[part.name];
-  (up ? queue.up : queue.booting).push_back(std::move(machine));
-}
-
-/// Several claims go in one write. One that is taken already makes it fail: then each is tried alone.
-/// Machines that are up wait to be used, and are claimed in small writes among those that users wait for.
-void Fleet::write_claims(Part& part) {
-  auto it = to_claim_.find(part.name);
-  if (it == to_claim_.end() || writing_claims_ > 0) return;
-  const bool up = !it->second.up.empty();
-  std::deque<Machine>& queue = up ? it->second.up : it->second.booting;
-  if (queue.empty()) return;
-  std::size_t most = cluster_.context.settings.state_transaction_writes / (up ? 4 : 1);
-  if (claims_alone_ > 0) --claims_alone_, most = 1;
-  std::vector<Machine> batch;
-  while (!queue.empty() && batch.size() < std::max<std::size_t>(1, most)) {
-    batch.push_back(std::move(queue.front()));
-    queue.pop_front();
-  }
-  StateCommit txn;
-  txn.conditions = {cluster_.holds(part)};
-  for (const Machine& m : batch) {
-    txn.conditions.push_back({records::claim_key(m.name), 0});
-    const records::Claim record{part.name, m.type, m.zone, m.spot, m.address, m.rented};
-    txn.writes.push_back({records::claim_key(m.name), records::to_json(record), 0});
-  }
-  ++writing_claims_;
-  cluster_.store.commit(
-      std::move(txn),
-      [this, name = part.name, generation = part.generation, batch = std::move(batch),
-       up](const StateAnswer& a) mutable {
-        --writing_claims_;
-        Part* p = cluster_.known(name, generation);
-        if (a.ok() && p != nullptr) {
-          // Nobody used these machines before they were claimed: nothing unknown can be on them.
-          for (const Machine& m : batch) {
-            claiming_.erase(m.name);
-            add(*p, m, true);
-          }
-          return resume_deferred();
-        }
-        if (a.outcome == StateAnswer::Outcome::conflict) hooks_.doubt_holdings();
-        if (p != nullptr && batch.size() > 1) {
-          claims_alone_ += batch.size();
-          ToClaim& again = to_claim_[name];
-          for (Machine& m : batch) (up ? again.up : again.booting).push_back(std::move(m));
-          return;
-        }
-        for (const Machine& m : batch) {
-          claiming_.erase(m.name);
-          // Taken by somebody else, or perhaps by ourselves in a write without answer.
-          if (p != nullptr) find_claim(m.name);
-        }
-      },
-      up ? Store::Rank::first : Store::Rank::later);
-}
-
-void Fleet::find_claim(const std::string& machine) {
-  cluster_.store.get(records::claim_key(machine), [this, machine](const StateAnswer& a) {
-    if (!a.ok() || a.rows.empty()) return;
-    auto claim = records::claim(a.rows.front().value);
-    if (!claim) return;
-    claims_[machine] = claim->part;
-    Part* part = cluster_.ready(claim->part);
-    // Our own write without answer: the machine may have been used since we gave up on it.
-    if (part != nullptr && !part->machines.contains(machine)) add(*part, machine_of(machine, *claim), false);
-    resume_deferred();
-  });
-}
-
-Machine Fleet::machine_of(const std::string& name, const records::Claim& claim) {
-  Machine m;
-  m.name = name;
-  m.address = claim.address;
-  m.type = claim.type;
-  m.zone = claim.zone;
-  m.spot = claim.spot;
-  m.rented = claim.rented;
-  return m;
+  claims_.want(*part, std::move(m));
 }
 
 Machine& Fleet::add(Part& part, const Machine& machine, bool settled) {
-  claims_[machine.name] = part.name;
   auto [it, fresh] = part.machines.try_emplace(machine.name, machine);
   Machine& m = it->second;
   if (fresh) {
@@ -188,17 +88,11 @@
   return m;
 }
 
-void Fleet::on_part_dropped(const std::string& part) {
-  for (const auto& queue : {to_claim_[part].up, to_claim_[part].booting})
-    for (const Machine& m : queue) claiming_.erase(m.name);
-  to_claim_.erase(part);
-}
-
 void Fleet::resume_deferred() {
   std::vector<Deferred> again;
   std::swap(again, deferred_);
   for (Deferred& d : again) {
-    if (claims_.contains(d.report.machine))
+    if (claims_.part_of(d.report.machine) != nullptr)
       on_report(d.request, d.report);
     else
       deferred_.push_back(std::move(d));
@@ -206,10 +100,8 @@
 }
 
 void Fleet::on_part_ready(Part& part) {
-  for (auto& [name, m] : part.machines) {
-    claims_[name] = part.name;
+  for (auto& [name, m] : part.machines)
     if (!m.settled) part.push_to(m);
-  }
   resume_deferred();
 }
 
@@ -224,8 +116,7 @@
   }
   auto it = part.machines.find(report.machine);
   if (it == part.machines.end()) {
-    // The claim was removed with the machine, yet it reports: a message from before its end.
-    claims_.erase(report.machine);
+    // The machine was deleted, yet it reports: a message from before its end.
     return answer(request, 503);
   }
   Machine& m = it->second;
@@ -426,8 +317,8 @@
   if (it == part.machines.end()) return;
   release_all(part, it->second);
   part.count_usage(it->second, -1);
+  claims_.forget(part, it->second);
   part.machines.erase(it);
-  claims_.erase(name);
   deleted_.insert(name);
   deleted_order_.push_back(name);
   while (deleted_order_.size() > kRememberedDeleted) {
@@ -641,10 +532,10 @@
     answer(d.request, 503);
     return true;
   });
+  claims_.tick();
   if (!cluster_.acting()) return;
   for (auto& [name, part] : cluster_.parts) {
     if (!part.ready()) continue;
-    write_claims(part);
     if (now < part.next_watch) continue;
     part.next_watch = now + kWatchEvery;
     watch(part);
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -1,7 +1,7 @@
 // Machines and what is on them: reports in, orders out, and the proofs that a task is off a machine.
 #pragma once
 
-#include "core/cluster.h"
+#include "core/claims.h"
 
 namespace bendtide {
 
@@ -18,24 +18,19 @@
   void on_report(std::uint64_t request, const Report& report);
   void on_orders_answer(std::uint64_t call, const OrdersAnswer& answer);
   void on_part_ready(Part& part);
-  void on_part_dropped(const std::string& part);
+  void on_part_dropped(const std::string& part) { claims_.on_part_dropped(part); }
 
   /// Whether a worker can be reached: no order has token and session 0, and it says what it holds.
   void probe(const std::string& address, std::function<void(bool)> done);
   /// Sends the orders that should not wait for the next report.
   void push_orders(Part& part);
-  /// A machine that no claim names is claimed for `part`, with one of the next writes.
-  void claim(Part& part, Machine machine, bool up);
   /// The machine and everything on it are gone.
   void gone(Part& part, const std::string& machine);
 
   /// Settled: nothing unknown can be on it.
   Machine& add(Part& part, const Machine& machine, bool settled);
-  static Machine machine_of(const std::string& name, const records::Claim& claim);
-  /// The part that takes a machine which nobody claimed: its zone's controllers come first.
-  std::string home_part(const std::string& machine, const std::string& zone) const;
   bool usable(const Machine& m) const;
-  std::map<std::string, std::string>& claims() { return claims_; }
+  Claims& claims() { return claims_; }
 
  private:
   struct Deferred {
@@ -51,11 +46,8 @@
     std::vector<AttemptId> starts;
   };
 
-  struct ToClaim {
-    std::deque<Machine> up, booting;
-  };
-
-  void resolve_claim(std::uint64_t request, const Report& report);
+  void on_unclaimed(std::uint64_t request, const Report& report);
+  void defer(std::uint64_t request, const Report& report);
   void on_own_report(std::uint64_t request, Part& part, const Report& report);
   void apply(Part& part, Machine& m, const Report& report, bool is_report);
   bool believable(const Part& part, const Report& report) const;
@@ -68,8 +60,6 @@
   void watch(Part& part);
   bool unresponsive(const Machine& m, Micros silence) const;
   void trim_images(Machine& m) const;
-  void write_claims(Part& part);
-  void find_claim(const std::string& machine);
   void resume_deferred();
   void answer(std::uint64_t request, int status, std::string redirect = {});
 
@@ -80,13 +70,9 @@
 
   Cluster& cluster_;
   Hooks hooks_;
-  std::map<std::string, std::string> claims_;  ///< machine -> part
-  std::vector<Deferred> deferred_;             ///< reports that wait for a claim or for the part
-  std::map<std::string, ToClaim> to_claim_;    ///< by part
-  std::set<std::string> claiming_;
-  std::size_t writing_claims_ = 0;
-  std::size_t claims_alone_ = 0;   ///< that many claims go one by one, after a write of several failed
-  std::set<std::string> deleted_;  ///< lately: a late copy of their reports brings none back
+  Claims claims_;
+  std::vector<Deferred> deferred_;  ///< reports that wait for a claim or for the part
+  std::set<std::string> deleted_;   ///< lately: a late copy of their reports brings none back
   std::deque<std::string> deleted_order_;
   std::map<std::uint64_t, Direct> direct_;
   std::map<std::uint64_t, std::function<void(bool)>> probes_;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -129,6 +129,7 @@
   Resources coming;  ///< the part of it whose tasks are already told to stop
   int services = 0;  ///< tasks among them that run until they are cancelled
   Micros rented{0};  ///< wall clock
+  std::uint32_t claim_block = 0;
 
   std::uint64_t session = 0;
   std::uint64_t sequence = 0;           ///< of the newest account
@@ -187,6 +188,13 @@
   bool in_doubt = false;  ///< a write without answer: its stamp has to be read
 };
 
+/// One record of machines that belong to the part.
+struct ClaimBlock {
+  std::uint64_t stamp = 0;
+  bool dirty = false;     ///< machines of it are gone
+  bool in_doubt = false;  ///< a write without answer
+};
+
 struct Part {
   enum class Stage : std::uint8_t { loading, ready };
   std::string name;
@@ -225,6 +233,7 @@
   std::vector<std::string> push;  ///< machines to be told something at once
   std::vector<std::string> over;  ///< jobs that are ended, until nothing of them is left
   std::map<std::uint32_t, DoneSlot> done_slots;
+  std::map<std::uint32_t, ClaimBlock> claim_blocks;
 
   bool ready() const { return stage == Stage::ready; }
   void changed() { next_pass = Micros{0}; }
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -144,18 +144,21 @@
   });
 }
 
-Value to_json(const Claim& c) {
-  return {{"part", c.part}, {"type", c.type},       {"zone", c.zone},
-          {"spot", c.spot}, {"address", c.address}, {"rented", c.rented.count()}};
+Value to_json(const std::vector<ClaimedMachine>& machines) {
+  Value out = Value::array();
+  for (const ClaimedMachine& m : machines)
+    out.push_back({m.name, m.type, m.zone, m.spot, m.address, m.rented.count()});
+  return out;
 }
-std::optional<Claim> claim(const Value& v) {
-  return read<Claim>(v, [](Claim& out, const Value& in) {
-    out.part = in.at("part").get<std::string>();
-    out.type = in.at("type").get<std::string>();
-    out.zone = in.at("zone").get<std::string>();
-    out.spot = in.at("spot").get<bool>();
-    out.address = in.at("address").get<std::string>();
-    out.rented = micros(in.at("rented"));
+std::size_t claim_bytes(const ClaimedMachine& m) {
+  constexpr std::size_t kRound = 48;  // quotes, commas, brackets, the flag and the time
+  return m.name.size() + m.type.size() + m.zone.size() + m.address.size() + kRound;
+}
+std::optional<std::vector<ClaimedMachine>> claims(const Value& v) {
+  return read<std::vector<ClaimedMachine>>(v, [](std::vector<ClaimedMachine>& out, const Value& in) {
+    for (const Value& row : in)
+      out.push_back({row.at(0).get<std::string>(), row.at(1).get<std::string>(), row.at(2).get<std::string>(),
+                     row.at(3).get<bool>(), row.at(4).get<std::string>(), micros(row.at(5))});
   });
 }
 
--- a/src/core/records.h
+++ b/src/core/records.h
@@ -6,7 +6,8 @@
 //   job/ID               the final state of a job: in the write that ends it, instead of live/ID
 //   done/PART/SLOT       finished tasks of unfinished jobs, as bitmaps, written by the part that ran them
 //   award/PART/ID/ROUND  tasks of another part's job awarded to PART
-//   claim/MACHINE        the part that a machine belongs to
+//   claim/PART/BLOCK     machines that belong to a part
+//   claim/-/PART         rewritten with every claim of a machine whose home the part is (core/claims.h)
 //   catalogue            machine types, for restarts while the cloud is down
 //   policy               the operators' own settings
 #pragma once
@@ -42,8 +43,8 @@
   std::vector<std::pair<std::uint32_t, std::uint32_t>> ranges;  ///< first task, number of tasks
   LiveJob job;
 };
-struct Claim {
-  std::string part;
+struct ClaimedMachine {
+  std::string name;
   std::string type;
   std::string zone;
   bool spot = false;
@@ -63,7 +64,11 @@
 inline std::string award_key(const std::string& part, const std::string& id, std::uint64_t round) {
   return award_prefix(part) + id + "/" + std::to_string(round);
 }
-inline std::string claim_key(const std::string& machine) { return "claim/" + machine; }
+inline const std::string kHomes = "-";  ///< sorts before the name of any part
+inline std::string claim_key(const std::string& part, std::uint32_t block) {
+  return "claim/" + part + "/" + std::to_string(block);
+}
+inline std::string home_key(const std::string& part) { return "claim/" + kHomes + "/" + part; }
 /// Tasks in one chunk of a done record: its bitmap takes 1 KiB.
 constexpr std::uint32_t kChunk = 4096;
 inline const std::string kHoldPrefix = "hold/";
@@ -82,7 +87,9 @@
 Value to_json(const JobEntry&);
 Value to_json(const LiveJob&);
 Value to_json(const Award&);
-Value to_json(const Claim&);
+Value to_json(const std::vector<ClaimedMachine>&);
+/// How much one machine takes in a block, at most.
+std::size_t claim_bytes(const ClaimedMachine&);
 Value to_json(const std::vector<MachineType>&);
 Value to_json(const std::vector<DoneBits>& done);
 /// How much one chunk takes in a done record, at most.
@@ -94,7 +101,7 @@
 std::optional<JobEntry> job_entry(const Value&);
 std::optional<LiveJob> live_job(const Value&);
 std::optional<Award> award(const Value&);
-std::optional<Claim> claim(const Value&);
+std::optional<std::vector<ClaimedMachine>> claims(const Value&);
 std::optional<std::vector<MachineType>> catalogue(const Value&);
 std::optional<std::vector<DoneBits>> done(const Value&);
 
--- a/src/core/renter.cpp
+++ b/src/core/renter.cpp
@@ -237,7 +237,7 @@
             m.zone = kind.zone;
             m.spot = kind.spot;
             m.rented = cluster_.context.wall;
-            fleet_.claim(*p, std::move(m), false);
+            fleet_.claims().want(*p, std::move(m));
           }
         }
       });
@@ -289,20 +289,7 @@
       return;
     }
     // The answer proves that the machines are gone, with everything on them.
-    StateCommit txn;
-    txn.conditions = {cluster_.holds(*p)};
-    auto flush = [&] {
-      if (!txn.writes.empty())
-        cluster_.store.commit(
-            txn, [](const StateAnswer&) {}, Store::Rank::later);
-      txn.writes.clear();
-    };
-    for (const std::string& name : names) {
-      fleet_.gone(*p, name);
-      txn.writes.push_back({records::claim_key(name), std::nullopt, 0});
-      if (txn.writes.size() >= cluster_.context.settings.state_transaction_writes) flush();
-    }
-    flush();
+    for (const std::string& name : names) fleet_.gone(*p, name);
   });
   if (!sent) return;
   for (const std::string& name : names) part.machines.at(name).deleting = true;
@@ -312,27 +299,27 @@
   const Micros now = cluster_.now();
   if (now < next_list_) return;
   const Micros pause = cluster_.context.settings.cloud_list_lag * 3 + seconds(10);
-  const bool sent = call(CloudList{list_from_},
-                         [this, pause, name = part.name, generation = part.generation](const CloudAnswer& a) {
-                           Part* p = cluster_.known(name, generation);
-                           if (p == nullptr || !a.ok()) return;
-                           for (const CloudMachine& c : a.machines) {
-                             if (fleet_.claims().contains(c.name) || fleet_.home_part(c.name, c.zone) != name)
-                               continue;
-                             if (c.age < pause) continue;  // whoever rented it is about to claim it
-                             Machine m;
-                             m.name = c.name;
-                             m.address = c.address;
-                             m.type = c.type;
-                             m.zone = c.zone;
-                             m.spot = c.spot;
-                             m.rented = cluster_.context.wall - c.age;
-                             fleet_.claim(*p, std::move(m), true);
-                           }
-                           // Page after page, then from the beginning.
-                           list_from_ = a.more && !a.machines.empty() ? a.machines.back().name : "";
-                           if (!list_from_.empty()) next_list_ = cluster_.now();
-                         });
+  const bool sent = call(CloudList{list_from_}, [this, pause, name = part.name,
+                                                 generation = part.generation](const CloudAnswer& a) {
+    Part* p = cluster_.known(name, generation);
+    if (p == nullptr || !a.ok()) return;
+    for (const CloudMachine& c : a.machines) {
+      if (fleet_.claims().part_of(c.name) != nullptr || fleet_.claims().home_part(c.name, c.zone) != name)
+        continue;
+      if (c.age < pause) continue;  // whoever rented it is about to claim it
+      Machine m;
+      m.name = c.name;
+      m.address = c.address;
+      m.type = c.type;
+      m.zone = c.zone;
+      m.spot = c.spot;
+      m.rented = cluster_.context.wall - c.age;
+      fleet_.claims().want(*p, std::move(m));
+    }
+    // Page after page, then from the beginning.
+    list_from_ = a.more && !a.machines.empty() ? a.machines.back().name : "";
+    if (!list_from_.empty()) next_list_ = cluster_.now();
+  });
   next_list_ = now + (sent ? pause : seconds(1));
 }
 
