Machines of a zone that is cut off are kept, and none is rented there

Cause: after a take-over during a cut between zones, 183 machines not heard from were deleted and replaced by others in the same unreachable zone.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr Micros kWatchEvery = millis(250);
+/// A zone may be cut off for that many of its workers' leases before its machines are given up.
+constexpr int kCutLeases = 8;
 /// That many signs in a row show that nothing reaches a machine. One answer may always come too late.
 constexpr int kDeafSigns = 3;
 
@@ -466,7 +468,6 @@
   const Micros lease = surely_over(s.worker_lease);
   const Micros silence =
       seconds(cluster_.context.policy.silence_reports * in_seconds(s.report_every) * 1.25) + seconds(1);
-  std::size_t silent = 0, heard = 0;
   for (auto& [name, m] : part.machines) {
     if (m.heard && !m.lost && now > m.last_answered + lease) {
       // Nobody renewed its lease: the worker has killed and forgotten everything.
@@ -479,8 +480,6 @@
       release_all(part, m);
     }
     if (!m.heard && !m.settled && now > m.last_answered + lease) part.settle(m, true);
-    if (m.heard) ++heard;
-    if (unresponsive(m, silence)) ++silent;
     // What failed on it may turn out to be the jobs' fault.
     if (m.quarantined) {
       const bool faulty_jobs = std::any_of(part.jobs.begin(), part.jobs.end(), [&](const auto& j) {
@@ -493,18 +492,53 @@
     }
     trim_images(m);
   }
-  // If most of them are silent, then it is rather us who can't hear.
-  if (silent > 0 && (silent * 2 <= heard || silent == 1)) {
-    for (auto& [name, m] : part.machines)
-      if (!m.condemned && unresponsive(m, silence)) {
-        m.condemned = true;
-        cluster_.context.info("machine " + name +
-                              (m.unheeded >= kDeafSigns ? " reports but takes up nothing" : " is silent") +
-                              ": it is to be deleted");
+  watch_zones(part, silence);
+  for (auto& [name, m] : part.machines)
+    if (!m.condemned && unresponsive(m, silence) && !part.cut_zones.contains(m.zone)) {
+      m.condemned = true;
+      cluster_.context.info("machine " + name +
+                            (m.unheeded >= kDeafSigns ? " reports but takes up nothing" : " is silent") +
+                            ": it is to be deleted");
+    }
+}
+
+/// If most machines of a zone are silent, then the way there is cut, or it is us who can't hear: they are not
+/// deleted for it, as they will be back at once. Only when that lasts, they are given up.
+void Fleet::watch_zones(Part& part, Micros silence) {
+  const Micros now = cluster_.now();
+  struct Tally {
+    std::size_t up = 0, silent = 0;
+  };
+  std::map<std::string, Tally> zones;
+  for (const auto& [name, m] : part.machines) {
+    if (m.condemned || (!m.heard && booting(m))) continue;
+    Tally& tally = zones[m.zone];
+    ++tally.up;
+    if (unresponsive(m, silence) || (!m.heard && now - part.taken_at > silence)) ++tally.silent;
+  }
+  for (const auto& [zone, tally] : zones) {
+    auto cut = part.cut_zones.find(zone);
+    if (tally.silent > 1 && tally.silent * 2 > tally.up) {
+      if (cut == part.cut_zones.end()) {
+        cluster_.context.info("part " + part.name + " can't reach its machines in zone " + zone);
+        part.cut_zones[zone] = now;
+      } else if (now - cut->second > cluster_.context.settings.worker_lease * kCutLeases) {
+        part.cut_zones.erase(cut);
       }
+    } else if (cut != part.cut_zones.end()) {
+      cluster_.context.info("part " + part.name + " reaches its machines in zone " + zone + " again");
+      part.cut_zones.erase(cut);
+      part.changed();
+    }
   }
 }
 
+/// Whether it may still be on its way up.
+bool Fleet::booting(const Machine& m) const {
+  const MachineType* type = cluster_.type(m.type);
+  return type == nullptr || cluster_.context.wall - m.rented <= type->boot * 5 / 2 + seconds(5);
+}
+
 /// Silent, or deaf: its reports arrive, but neither answers nor commands reach it.
 bool Fleet::unresponsive(const Machine& m, Micros silence) const {
   return m.heard && (cluster_.now() - m.last_heard > silence || m.unheeded >= kDeafSigns);
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -30,6 +30,7 @@
   /// Settled: nothing unknown can be on it.
   Machine& add(Part& part, const Machine& machine, bool settled);
   bool usable(const Machine& m) const;
+  bool booting(const Machine& m) const;
   Claims& claims() { return claims_; }
 
  private:
@@ -58,6 +59,7 @@
   std::vector<Order> orders(Part& part, Machine& m, std::uint64_t in_report);
   bool urgent(const Machine& m) const;
   void watch(Part& part);
+  void watch_zones(Part& part, Micros silence);
   bool unresponsive(const Machine& m, Micros silence) const;
   void trim_images(Machine& m) const;
   void resume_deferred();
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -229,9 +229,10 @@
   std::vector<Ranked> queue;  ///< as of the last pass
   Micros next_pass{0};        ///< a pass over everything; at once if something has changed
   Micros next_watch{0};
-  bool unsettled_jobs = false;    ///< some were loaded, and not all machines are settled yet
-  std::vector<std::string> push;  ///< machines to be told something at once
-  std::vector<std::string> over;  ///< jobs that are ended, until nothing of them is left
+  std::map<std::string, Micros> cut_zones;  ///< whose machines can't be reached, and since when
+  bool unsettled_jobs = false;              ///< some were loaded, and not all machines are settled yet
+  std::vector<std::string> push;            ///< machines to be told something at once
+  std::vector<std::string> over;            ///< jobs that are ended, until nothing of them is left
   std::map<std::uint32_t, DoneSlot> done_slots;
   std::map<std::uint32_t, ClaimBlock> claim_blocks;
 
--- a/src/core/renter.cpp
+++ b/src/core/renter.cpp
@@ -9,7 +9,8 @@
 constexpr double kSlice = 0.8;
 constexpr Micros kRentEvery = millis(500);
 constexpr Micros kRefusedFor = seconds(20);
-constexpr double kSlowBoot = 120;  ///< a boot of this many seconds doubles the price in our eyes
+constexpr double kForeignZone = 1.25;  ///< what a service is ready to pay for not going there
+constexpr double kSlowBoot = 120;      ///< a boot of this many seconds doubles the price in our eyes
 constexpr std::size_t kNamesPerDelete = 100;
 constexpr int kMachinesPerOrder = 50;
 constexpr Micros kLeastPaid = seconds(60);  ///< a machine costs as much even if it is returned earlier
@@ -109,7 +110,8 @@
   return (!kind.spot || spec.spot) && spec.allows_type(kind.type) && (!spec.zone || *spec.zone == kind.zone);
 }
 
-std::optional<Renter::Kind> Renter::cheapest(const JobSpec& spec, const std::vector<Need>& needs) const {
+std::optional<Renter::Kind> Renter::cheapest(const Part& part, const JobSpec& spec,
+                                             const std::vector<Need>& needs) const {
   std::optional<Kind> best;
   double best_cost = 0;
   for (const MachineType& t : cluster_.catalogue) {
@@ -119,6 +121,7 @@
         const Kind kind{t.name, zone, spot};
         if (!suits(spec, kind) || (spot && (!cluster_.context.policy.spot_machines || t.spot_price <= 0)))
           continue;
+        if (part.cut_zones.contains(zone)) continue;
         if (auto it = none_until_.find(kind); it != none_until_.end() && it->second > cluster_.now())
           continue;
         // For each CPU that will be used: a machine not filled is dearer, and one that boots slowly, too.
@@ -127,8 +130,10 @@
           if (suits(need.job->spec, kind)) wanted += need.job->spec.each.cpu * need.tasks;
         double cost = (spot ? t.spot_price : t.price) / static_cast<double>(std::min(t.size.cpu, wanted));
         cost *= 1.0 + in_seconds(t.boot) / kSlowBoot;
-        // Our own zone decides among equals.
-        if (zone != cluster_.context.settings.zone) cost *= 1.001;
+        // Our own zone decides among equals; for services it is worth more, as they go on there when the way
+        // to the others is cut.
+        if (zone != cluster_.context.settings.zone)
+          cost *= spec.shape == Shape::service ? kForeignZone : 1.001;
         if (!best || cost < best_cost) best = kind, best_cost = cost;
       }
   }
@@ -152,6 +157,7 @@
         bins.push_back({{m.type, m.zone, m.spot}, m.coming_by(cluster_.now() + type->boot)});
       continue;
     }
+    if (part.cut_zones.contains(m.zone)) continue;
     // One that takes much longer than usual may never come.
     if (cluster_.context.wall - m.rented > type->boot * 8 / 5 + seconds(2)) continue;
     bins.push_back({{m.type, m.zone, m.spot}, m.size});
@@ -179,7 +185,7 @@
   int machines = 0;
   for (Need& need : needs)
     while (need.tasks > 0 && machines < kMachinesPerOrder) {
-      auto kind = cheapest(need.job->spec, needs);
+      auto kind = cheapest(part, need.job->spec, needs);
       need.job->unrentable = !kind;
       if (!kind) break;
       ++out[*kind];
@@ -261,11 +267,8 @@
 void Renter::give_up_stuck(Part& part) {
   for (auto& [name, m] : part.machines) {
     if (m.heard || m.condemned) continue;
-    const MachineType* type = cluster_.type(m.type);
-    if (type == nullptr) continue;
-    const Micros patience = type->boot * 5 / 2 + seconds(5);
-    if (cluster_.context.wall - m.rented > patience &&
-        cluster_.now() - part.taken_at > cluster_.context.settings.worker_lease) {
+    if (fleet_.booting(m) || part.cut_zones.contains(m.zone)) continue;
+    if (cluster_.now() - part.taken_at > cluster_.context.settings.worker_lease) {
       m.condemned = true;
       cluster_.context.info("machine " + name + " does not come up: it is deleted");
     }
--- a/src/core/renter.h
+++ b/src/core/renter.h
@@ -38,7 +38,7 @@
     Job* job;
     std::int64_t tasks;
   };
-  std::optional<Kind> cheapest(const JobSpec& spec, const std::vector<Need>& needs) const;
+  std::optional<Kind> cheapest(const Part& part, const JobSpec& spec, const std::vector<Need>& needs) const;
   static bool suits(const JobSpec& spec, const Kind& kind);
   void refused(const Kind& kind);
   std::string next_charter();
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -115,11 +115,12 @@
 
 void Scheduler::place_all(Part& part, const Ranked& ranked, std::vector<Room>& rooms, PerZone& per_zone) {
   const Job& job = *ranked.job;
-  // Caching machines go first, unless a fetch is short beside the run. Then the ones of its kind, as services
-  // keep a machine for long; then the fullest, so that others run empty and are returned; where the image has
+  // Caching machines go first, unless a fetch is short beside the run; for services those in our own zone, as
+  // they go on there when the way to the others is cut. Then the ones of its kind, as services keep a machine
+  // for long; then the fullest, so that others run empty and are returned; where the image has
   // to be fetched anyway, the roomiest.
   struct Candidate {
-    std::tuple<bool, bool, bool, std::int64_t> key;
+    std::tuple<bool, bool, bool, bool, std::int64_t> key;
     Room* room;
   };
   const bool service = job.spec.shape == Shape::service;
@@ -130,7 +131,8 @@
     if (job.failed_on.contains(m.name) && part.machines.size() > job.failed_on.size()) continue;
     const bool short_fetch = cluster_.fetch_time(job.spec, m.type) * kShortFetch < job.spec.estimate;
     const bool cached = short_fetch || m.images.contains(job.spec.image);
-    candidates.push_back({{cached, (m.services > 0) == service, m.spot && job.spec.spot,
+    const bool near = !service || m.zone == cluster_.context.settings.zone;
+    candidates.push_back({{near, cached, (m.services > 0) == service, m.spot && job.spec.spot,
                            cached || service ? -r.free.cpu : r.free.cpu},
                           &r});
   }
@@ -236,8 +238,12 @@
   };
   // Services gather on few machines, as they keep them for long.
   if (job.spec.shape == Shape::service)
-    std::stable_sort(rooms.begin(), rooms.end(),
-                     [](const Room& a, const Room& b) { return a.machine->services > b.machine->services; });
+    std::stable_sort(rooms.begin(), rooms.end(), [&](const Room& a, const Room& b) {
+      auto key = [&](const Room& r) {
+        return std::pair(r.machine->zone == cluster_.context.settings.zone, r.machine->services);
+      };
+      return key(a) > key(b);
+    });
   for (Room& r : rooms) {
     if (needed <= 0) return;
     if (!allowed(job, *r.machine, per_zone)) continue;
