--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -115,10 +115,10 @@
 
 void Scheduler::place_all(Part& part, const Ranked& ranked, std::vector<Room>& rooms, PerZone& per_zone) {
   const Job& job = *ranked.job;
-  // Caching machines go first, unless a fetch is short beside the run; for services those in our own zone, as
-  // they go on there when the way to the others is cut. Then the ones of its kind, as services keep a machine
-  // for long; then the fullest, so that others run empty and are returned; where the image has
-  // to be fetched anyway, the roomiest.
+  // Caching machines go first, unless a fetch is short beside the run. Then, for services, those in our own
+  // zone, as they go on there when the way to the others is cut. Then the ones of its kind, as services keep
+  // a machine for long; then the fullest, so that others run empty and are returned; where the image has to
+  // be fetched anyway, the roomiest.
   struct Candidate {
     std::tuple<bool, bool, bool, bool, std::int64_t> key;
     Room* room;
@@ -132,7 +132,7 @@
     const bool short_fetch = cluster_.fetch_time(job.spec, m.type) * kShortFetch < job.spec.estimate;
     const bool cached = short_fetch || m.images.contains(job.spec.image);
     const bool near = !service || m.zone == cluster_.context.settings.zone;
-    candidates.push_back({{near, cached, (m.services > 0) == service, m.spot && job.spec.spot,
+    candidates.push_back({{cached, near, (m.services > 0) == service, m.spot && job.spec.spot,
                            cached || service ? -r.free.cpu : r.free.cpu},
                           &r});
   }
@@ -236,11 +236,12 @@
     if (fresh) it->second = part.used(victim.spec.team);
     return !it->second.fits_in(guarantee(part, victim.spec.team));
   };
-  // Services gather on few machines, as they keep them for long.
+  // Where the image is cached; else near, and on few machines, as they keep them for long.
   if (job.spec.shape == Shape::service)
     std::stable_sort(rooms.begin(), rooms.end(), [&](const Room& a, const Room& b) {
       auto key = [&](const Room& r) {
-        return std::pair(r.machine->zone == cluster_.context.settings.zone, r.machine->services);
+        return std::tuple(r.machine->images.contains(job.spec.image),
+                          r.machine->zone == cluster_.context.settings.zone, r.machine->services);
       };
       return key(a) > key(b);
     });
