Fewer stops for guarantees; cuts noticed before machines are deleted

Cause: room made for guaranteed jobs past their deadline went to others and was made again, 600 stops in 20 s; in a cut between zones 128 machines were deleted before most were seen silent; booting machines counted as silence.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -492,7 +492,8 @@
     }
     trim_images(m);
   }
-  watch_zones(part, silence);
+  // A cut is to be noticed before the first machine has been silent for long enough to be deleted.
+  watch_zones(part, s.report_every * 8 / 5 + seconds(1));
   for (auto& [name, m] : part.machines)
     if (!m.condemned && unresponsive(m, silence) && !part.cut_zones.contains(m.zone)) {
       m.condemned = true;
@@ -504,7 +505,7 @@
 
 /// If most machines of a zone are silent, then the way there is cut, or it is us who can't hear: they are not
 /// deleted for it, as they will be back at once. Only when that lasts, they are given up.
-void Fleet::watch_zones(Part& part, Micros silence) {
+void Fleet::watch_zones(Part& part, Micros late) {
   const Micros now = cluster_.now();
   struct Tally {
     std::size_t up = 0, silent = 0;
@@ -514,7 +515,7 @@
     if (m.condemned || (!m.heard && booting(m))) continue;
     Tally& tally = zones[m.zone];
     ++tally.up;
-    if (unresponsive(m, silence) || (!m.heard && now - part.taken_at > silence)) ++tally.silent;
+    if (now - (m.heard ? m.last_heard : part.taken_at) > late) ++tally.silent;
   }
   for (const auto& [zone, tally] : zones) {
     auto cut = part.cut_zones.find(zone);
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -59,7 +59,7 @@
   std::vector<Order> orders(Part& part, Machine& m, std::uint64_t in_report);
   bool urgent(const Machine& m) const;
   void watch(Part& part);
-  void watch_zones(Part& part, Micros silence);
+  void watch_zones(Part& part, Micros late);
   bool unresponsive(const Machine& m, Micros silence) const;
   void trim_images(Machine& m) const;
   void resume_deferred();
--- a/src/core/holdings.cpp
+++ b/src/core/holdings.cpp
@@ -53,9 +53,14 @@
 bool Holdings::hears_nobody(const Part& part) const {
   const Micros silence = cluster_.context.settings.report_every * 8 / 5 + seconds(1);
   const Micros since = cluster_.now() - silence;
-  return part.machines.size() > 1 && part.taken_at + silence < since &&
-         std::none_of(part.machines.begin(), part.machines.end(),
-                      [&](const auto& m) { return m.second.last_heard > since; });
+  if (part.taken_at + silence > since) return false;
+  std::size_t up = 0;
+  for (const auto& [name, m] : part.machines) {
+    if (m.condemned || (!m.heard && fleet_.booting(m))) continue;
+    if (m.heard && m.last_heard > since) return false;
+    ++up;
+  }
+  return up > 1;
 }
 
 std::optional<std::string> Holdings::better_host(const Part& part) const {
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -162,6 +162,11 @@
     const auto& over = may_lose.over_guarantee;
     return job.unrentable && over.size() > (over.contains(job.spec.team) ? 1u : 0u);
   };
+  // Room that comes free by itself in time, as far as it is not counted on yet.
+  std::int64_t coming = 0;
+  if (!may_lose.over_guarantee.empty())
+    for (const Room& r : free)
+      coming += (r.machine->coming_by(cluster_.now() + guarantee_within()) - r.machine->coming).cpu;
   int attempts = kMakingRoomPerPass;
   for (const Ranked& r : part.queue) {
     Job& job = *r.job;
@@ -175,11 +180,19 @@
     if (job.overflow > 0 && attempts > 0 && may_make_room(job)) {
       --attempts;
       for (Room& room : free) room.free = room.machine->free();
-      make_room(part, r, free, per_zone);
+      make_room(part, r, free, per_zone, coming);
     }
   }
 }
 
+/// The time in which work within a guarantee is to start.
+Micros Scheduler::guarantee_within() const {
+  Micros within{0};
+  for (const Objective& o : cluster_.context.settings.objectives)
+    if (o.kind == "guarantee" && (within == Micros{0} || o.within < within)) within = o.within;
+  return within;
+}
+
 void Scheduler::fill(Part& part, Machine& machine) {
   if (part.queue.empty() || !fleet_.usable(machine)) return;
   Room room{&machine, machine.free(), {}};
@@ -213,8 +226,8 @@
   return out;
 }
 
-void Scheduler::make_room(Part& part, const Ranked& ranked, std::vector<Room>& rooms,
-                          const PerZone& per_zone) {
+void Scheduler::make_room(Part& part, const Ranked& ranked, std::vector<Room>& rooms, const PerZone& per_zone,
+                          std::int64_t& coming) {
   const Quota used_by_team = part.used(ranked.job->spec.team);
   const Job& job = *ranked.job;
   const Resources& each = job.spec.each;
@@ -226,6 +239,13 @@
       {job.overflow, kStopsPerPass, own_team_only ? kStopsPerPass : spare.holds(quota_of(each))});
   std::int64_t within_guarantee =
       std::min(needed, (guarantee(part, job.spec.team) - used_by_team).holds(quota_of(each)));
+  // What can't keep its deadline does not come before others that can: room made for it would go to them, and
+  // be made again. And what comes free in time need not be made.
+  if (ranked.lost > 0) within_guarantee = 0;
+  const std::int64_t in_time =
+      std::clamp<std::int64_t>(coming / each.cpu, 0, std::max<std::int64_t>(0, within_guarantee));
+  within_guarantee -= in_time;
+  coming -= in_time * each.cpu;
   std::map<std::string, Quota> left;  // of the victims' teams, once those stopped here are gone
   auto may_stop = [&](const Job& victim) {
     if (own_team_only && victim.spec.team != job.spec.team) return false;
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -45,7 +45,9 @@
   };
   Losers losers(const Part& part) const;
   /// Stops tasks that have to give way. The room is there once their machines have shown them gone.
-  void make_room(Part& part, const Ranked& ranked, std::vector<Room>& rooms, const PerZone& per_zone);
+  void make_room(Part& part, const Ranked& ranked, std::vector<Room>& rooms, const PerZone& per_zone,
+                 std::int64_t& coming);
+  Micros guarantee_within() const;
   /// Where tasks of the job are, or may be.
   static PerZone zones_of(const Part& part, const Job& job);
 
