--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -30,6 +30,23 @@
 // Days that once broke a rule or left work undone; the commits that mended them say how.
 INSTANTIATE_TEST_SUITE_P(Found, TroubledDay, testing::Values(57, 262, 344, 409, 412, 460, 479, 616, 721));
 
+// One kind of trouble again and again, beside copies of messages that come late.
+class DayOfOneTrouble : public testing::TestWithParam<int> {};
+
+TEST_P(DayOfOneTrouble, KeepsEveryRuleAndFinishesTheWork) {
+  DayPlan plan;
+  plan.seed = 1000 + static_cast<std::uint64_t>(GetParam());
+  plan.only = static_cast<Trouble>(GetParam());
+  plan.verbose = std::getenv("DAY_VERBOSE") != nullptr;
+  Day day(plan);
+  day.play();
+  EXPECT_EQ(day.checker().summary(), "");
+  EXPECT_EQ(day.unfinished(), std::vector<std::string>{});
+  EXPECT_EQ(day.wrong_sums(), 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds, DayOfOneTrouble, testing::Range(0, static_cast<int>(Trouble::count)));
+
 TEST(QuietDay, FinishesEverythingAndNegotiates) {
   DayPlan plan;
   plan.troubles = false;
@@ -60,17 +77,18 @@
   EXPECT_TRUE(day.checker().broken().contains(GetParam().rule)) << day.checker().summary();
 }
 
-INSTANTIATE_TEST_SUITE_P(Rules, PlantedFault,
-                         testing::Values(Planted{Sabotage::start_twice, "ran_twice"},
-                                         Planted{Sabotage::ignore_quota, "quota"},
-                                         Planted{Sabotage::start_anywhere, "wrong_place"},
-                                         Planted{Sabotage::keep_cancelled, "ran_cancelled"},
-                                         Planted{Sabotage::deny_jobs, "forgotten"},
-                                         Planted{Sabotage::confirm_anything, "invented"},
-                                         Planted{Sabotage::call_done_early, "not_done"},
-                                         Planted{Sabotage::take_back, "went_back"},
-                                         Planted{Sabotage::start_nothing, "nothing_ran"}),
-                         [](const auto& info) { return std::string(info.param.rule); });
+INSTANTIATE_TEST_SUITE_P(
+    Rules, PlantedFault,
+    testing::Values(
+        Planted{Sabotage::start_twice, "ran_twice"}, Planted{Sabotage::ignore_quota, "quota"},
+        Planted{Sabotage::start_anywhere, "wrong_place"}, Planted{Sabotage::keep_cancelled, "ran_cancelled"},
+        Planted{Sabotage::deny_jobs, "forgotten"}, Planted{Sabotage::confirm_anything, "invented"},
+        Planted{Sabotage::call_done_early, "not_done"}, Planted{Sabotage::take_back, "went_back"},
+        Planted{Sabotage::start_nothing, "nothing_ran"}, Planted{Sabotage::starve_team, "starved"},
+        Planted{Sabotage::starve_large, "starved"}, Planted{Sabotage::ignore_one, "forgotten"}),
+    [](const auto& info) {
+      return std::string(info.param.rule) + "_" + std::to_string(static_cast<int>(info.param.sabotage));
+    });
 
 }  // namespace
 }  // namespace bendtide::sim
--- a/tests/sim/checker.cpp
+++ b/tests/sim/checker.cpp
@@ -1,5 +1,7 @@
 #include "sim/checker.h"
 
+#include <algorithm>
+
 namespace bendtide::sim {
 
 void Checker::told(const std::string& id, int status, JobPhase phase, Micros asked, Micros now) {
@@ -10,6 +12,7 @@
     Job& job = it->second;
     job.failing_since = Micros{-1};
     job.failures = 0;
+    job.answered_at = now;
     if (phase == JobPhase::done && job.completed.size() < job.spec.tasks) breaks("not_done", id);
     if (phase == JobPhase::cancelled && !job.cancel_asked) breaks("went_back", id + " is called cancelled");
     // Only a question asked after the final answer must not get an older one.
@@ -29,6 +32,8 @@
   if (it == jobs_.end() || !it->second.accepted) return;
   Job& job = it->second;
   if (job.failing_since < Micros{0}) job.failing_since = now;
+  if (calm_since_ && now - std::max(job.answered_at, *calm_since_) > seconds(75))
+    breaks("forgotten", id + " is not answered about though all is calm");
   // A user who polls seldom may meet several short troubles one after the other.
   if (++job.failures >= 6 && now - job.failing_since > seconds(90))
     breaks("forgotten", id + " can't be asked about");
@@ -53,6 +58,7 @@
   if (job.told_final && job.final_phase == JobPhase::cancelled &&
       now - job.final_at > settings_.cancel_within)
     breaks("ran_cancelled", what + " started");
+  if (job.began_at < Micros{0}) job.began_at = now;
   job.places.emplace(task.index, Place{machine, zone});
   Quota& used = used_[s.team];
   used += quota_of(s.each);
@@ -78,8 +84,40 @@
       breaks("ran_cancelled", id);
 }
 
+bool Checker::served(const Job& job) const {
+  return job.spec.shape == Shape::array ? job.completed.size() == job.spec.tasks : job.began_at >= Micros{0};
+}
+
 void Checker::end() {
   if (starts_ == 0) breaks("nothing_ran", "no task was started");
+  struct Group {
+    std::size_t jobs = 0, served = 0;
+  };
+  std::map<std::string, Group> groups;
+  std::map<std::string, std::vector<const Job*>> classes;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.accepted || job.cancel_asked) continue;
+    classes[job.spec.job_class].push_back(&job);
+    for (const std::string& name : {"class " + job.spec.job_class, "team " + job.spec.team}) {
+      ++groups[name].jobs;
+      groups[name].served += served(job) ? 1 : 0;
+    }
+  }
+  for (auto& [name, jobs] : classes) {
+    std::sort(jobs.begin(), jobs.end(),
+              [](const Job* a, const Job* b) { return a->spec.tasks > b->spec.tasks; });
+    jobs.resize((jobs.size() + 4) / 5);
+    for (const Job* job : jobs) {
+      Group& group = groups["the largest of class " + name];
+      ++group.jobs;
+      group.served += served(*job) ? 1 : 0;
+      if (job->began_at < Micros{0} || job->began_at - job->accepted_at > seconds(240))
+        breaks("starved", job->spec.id + ", one of the largest, began too late");
+    }
+  }
+  for (const auto& [name, group] : groups)
+    if (group.served * 2 < group.jobs)
+      breaks("starved", name + ": " + std::to_string(group.served) + " of " + std::to_string(group.jobs));
 }
 
 std::string Checker::summary() const {
--- a/tests/sim/checker.h
+++ b/tests/sim/checker.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/settings.h"
@@ -16,7 +17,10 @@
 
   // What users see.
   void submitted(const JobSpec& spec) { jobs_[spec.id].spec = spec; }
-  void accepted(const std::string& id) { jobs_[id].accepted = true; }
+  void accepted(const std::string& id, Micros now) {
+    Job& job = jobs_[id];
+    if (!std::exchange(job.accepted, true)) job.accepted_at = now;
+  }
   void asked_to_cancel(const std::string& id) { jobs_[id].cancel_asked = true; }
   /// The answer to a poll, a repeated submission or a cancellation that was asked for at `asked`.
   void told(const std::string& id, int status, JobPhase phase, Micros asked, Micros now);
@@ -30,8 +34,11 @@
   void completed(const TaskId& task) { jobs_[task.job].completed.insert(task.index); }
 
   bool runs(const std::string& id) const { return jobs_.contains(id) && !jobs_.at(id).places.empty(); }
-  /// Called regularly, and at the end of the day.
+  /// All troubles are over: from now on everybody has to get answers.
+  void calm(Micros now) { calm_since_ = now; }
+  /// Called regularly.
   void look(Micros now);
+  /// At the end of the day: how many of the jobs of each kind were served.
   void end();
 
   const std::map<std::string, std::vector<std::string>>& broken() const { return broken_; }
@@ -48,17 +55,22 @@
     bool told_final = false;
     JobPhase final_phase = JobPhase::pending;
     Micros final_at{0};
+    Micros accepted_at{0};
+    Micros began_at{-1};
+    Micros answered_at{0};
     Micros failing_since{-1};
     int failures = 0;
     std::set<std::uint32_t> completed;
     std::multimap<std::uint32_t, Place> places;
   };
   void breaks(const std::string& rule, const std::string& what) { broken_[rule].push_back(what); }
+  bool served(const Job& job) const;
 
   const Settings& settings_;
   std::map<std::string, Job> jobs_;
   std::map<std::string, Quota> used_;
   std::size_t starts_ = 0;
+  std::optional<Micros> calm_since_;
   std::map<std::string, std::vector<std::string>> broken_;
 };
 
--- a/tests/sim/day.cpp
+++ b/tests/sim/day.cpp
@@ -145,8 +145,14 @@
   deliver(
       to,
       [this, &node, to, serve, conclude] {
-        Answer answer = serve();
-        send(to, node.host, [conclude, answer] { conclude(answer); });
+        auto answer_it = [this, &node, to, serve, conclude] {
+          Answer answer = serve();
+          send(to, node.host, [conclude, answer] { conclude(answer); });
+        };
+        if (to == kState && state_slowness_ > 1)
+          after(Micros{static_cast<std::int64_t>(5000 * state_slowness_)}, answer_it);
+        else
+          answer_it();
       },
       node.host);
   after(within, [conclude] { conclude(Answer{}); });
@@ -156,8 +162,13 @@
 WithOrders Day::sabotaged(WithOrders message) const {
   if (plan_.sabotage == Sabotage::keep_cancelled)
     std::erase_if(message.orders, [](const Order& o) { return o.kind == Order::Kind::stop; });
-  if (plan_.sabotage == Sabotage::start_nothing)
-    std::erase_if(message.orders, [](const Order& o) { return o.kind == Order::Kind::start; });
+  std::erase_if(message.orders, [&](const Order& o) {
+    if (o.kind != Order::Kind::start) return false;
+    const JobSpec& spec = specs_.at(o.task.job);
+    return plan_.sabotage == Sabotage::start_nothing ||
+           (plan_.sabotage == Sabotage::starve_team && spec.team == "green") ||
+           (plan_.sabotage == Sabotage::starve_large && spec.tasks > 16);
+  });
   return message;
 }
 
@@ -189,8 +200,14 @@
           node, machine, millis(1500),
           [this_ = &d, machine, body = wire::request_of(d.sabotaged(std::move(a.request))).body] {
             auto it = this_->cloud_.machines().find(machine);
-            if (it == this_->cloud_.machines().end() || it->second.dead || !it->second.worker)
+            if (it == this_->cloud_.machines().end() || it->second.dead || !it->second.worker ||
+                it->second.worker->deaf)
               return OrdersAnswer{};
+            this_->copy_later([this_, machine, body] {
+              auto again = this_->cloud_.machines().find(machine);
+              if (again != this_->cloud_.machines().end() && !again->second.dead && again->second.worker)
+                again->second.worker->orders(body, this_->now_);
+            });
             Response r = it->second.worker->orders(body, this_->now_);
             return wire::orders_answer(r.status, r.body);
           },
@@ -284,6 +301,12 @@
     Worker& w = *it->second.worker;
     if (w.reporting() && w.report_number == number && !w.hanging) f(w);
   };
+  copy_later([this, body] {
+    Node& any = *nodes_[static_cast<std::size_t>(pick(3))];
+    auto copy = wire::report(body);
+    const std::uint64_t request = any.next_request++;
+    on_node(any, any.life, [&](Controller& c) { c.on_report(request, std::get<Report>(copy)); });
+  });
   after(seconds(4), [this, with_worker] { with_worker([this](Worker& w) { w.report_failed(now_); }); });
   for (auto& node : nodes_) {
     if (node->host != host) continue;
@@ -308,7 +331,9 @@
           }
         const std::string text = wire::body_of(sent);
         send(node->host, name, [this, with_worker, status = sent.status, text] {
-          with_worker([&](Worker& w) { w.report_answered(status, text, now_); });
+          with_worker([&](Worker& w) {
+            if (!w.deaf) w.report_answered(status, text, now_);
+          });
         });
       };
       auto parsed = wire::report(body);
@@ -377,7 +402,7 @@
   ask([&](Controller& c, std::uint64_t r) { c.on_submit(r, user.spec); },
       [this, &user, since](const UserReply* reply) {
         if (reply != nullptr && (reply->status == 200 || reply->status == 201)) {
-          checker_.accepted(user.spec.id);
+          checker_.accepted(user.spec.id, now_);
           checker_.told(user.spec.id, reply->status, reply->phase, now_, now_);
           user.accepted = true;
           after(seconds(4 + chance()), [this, &user] { poll(user); });
@@ -392,7 +417,8 @@
   const Micros asked = now_;
   ask([&](Controller& c, std::uint64_t r) { c.on_poll(r, user.spec.id); },
       [this, &user, asked](const UserReply* reply) {
-        if (reply == nullptr || reply->status == 503) {
+        const bool ignored = plan_.sabotage == Sabotage::ignore_one && &user == users_.front().get();
+        if (reply == nullptr || reply->status == 503 || ignored) {
           checker_.unanswered(user.spec.id, now_);
         } else {
           UserReply seen = *reply;
@@ -440,72 +466,104 @@
 
 // ---- troubles ------------------------------------------------------------------------------------
 
+void Day::copy_later(std::function<void()> deliver) {
+  if (!plan_.troubles || chance() > 0.02) return;
+  after(seconds(0.5 + chance() * 40), std::move(deliver));
+}
+
+std::string Day::a_machine() {
+  std::vector<std::string> names;
+  for (auto& [name, m] : cloud_.machines())
+    if (m.worker && !m.dead) names.push_back(name);
+  return names.empty() ? "" : names[static_cast<std::size_t>(pick(static_cast<int>(names.size())))];
+}
+
+void Day::calm() {
+  for (auto& [name, m] : cloud_.machines())
+    if (m.worker) m.worker->sick = m.worker->hanging = m.worker->deaf = false;
+  // The last of the troubles that are under way ends within this.
+  after(seconds(35), [this] { checker_.calm(now_); });
+}
+
 void Day::trouble() {
-  if (now_ > plan_.trouble_until) {
-    for (auto& [name, m] : cloud_.machines())
-      if (m.worker) m.worker->sick = m.worker->hanging = false;
-    return;
-  }
+  if (now_ > plan_.trouble_until) return calm();
+  start(plan_.only.value_or(static_cast<Trouble>(pick(static_cast<int>(Trouble::count)))));
+  after(seconds(1 + chance() * 14), [this] { trouble(); });
+}
+
+void Day::start(Trouble kind) {
   Node& node = *nodes_[static_cast<std::size_t>(pick(3))];
   const bool hold = chance() < 0.5;
   const Micros span = seconds(3 + chance() * 30);
-  std::vector<std::string> names;
-  for (auto& [name, m] : cloud_.machines())
-    if (m.worker && !m.dead) names.push_back(name);
-  const std::string victim =
-      names.empty() ? "" : names[static_cast<std::size_t>(pick(static_cast<int>(names.size())))];
+  const std::string victim = a_machine();
   auto with_victim = [this, victim](const std::function<void(Cloud::Machine&)>& f) {
     if (auto it = cloud_.machines().find(victim); it != cloud_.machines().end() && it->second.worker)
       f(it->second);
   };
-  const int kind = pick(12);
+  auto cut_workers = [&](const Node& n, const std::string& zone) {
+    for (auto& [name, m] : cloud_.machines())
+      if (m.worker && !m.dead && (zone.empty() || m.zone == zone)) cut(n.host, name, hold, span);
+  };
+  auto cut_peers = [&](const Node& n) {
+    for (auto& other : nodes_)
+      if (other->host != n.host) cut(n.host, other->host, hold, span);
+  };
+  // Back within a fraction of a second, or after a while.
+  auto back_in = [&] { return seconds(chance() < 0.4 ? 0.02 + chance() * 0.3 : 0.5 + chance() * 6); };
   if (plan_.verbose)
-    std::printf("%9.3f ---- trouble %d at %s or %s for %.1f s\n", in_seconds(now_), kind, node.host.c_str(),
-                victim.c_str(), in_seconds(span));
+    std::printf("%9.3f ---- trouble %d at %s or %s for %.1f s\n", in_seconds(now_), static_cast<int>(kind),
+                node.host.c_str(), victim.c_str(), in_seconds(span));
   switch (kind) {
-    case 0:
-      crash(node, seconds(0.2 + chance() * 6));
-      break;
-    case 1:
-      for (auto& n : nodes_) crash(*n, seconds(1 + chance() * 6));
-      break;
-    case 2:
+    case Trouble::crash:
+      return crash(node, back_in());
+    case Trouble::crash_all:
+      for (auto& n : nodes_) crash(*n, back_in());
+      return;
+    case Trouble::lose_state:
+      return cut(node.host, kState, hold, span);
+    case Trouble::lose_workers:
+      return cut_workers(node, "");
+    case Trouble::lose_peers:
+      return cut_peers(node);
+    case Trouble::lose_state_and_peers:
       cut(node.host, kState, hold, span);
-      break;
-    case 3:
-      for (const std::string& name : names) cut(node.host, name, hold, span);
-      break;
-    case 4:
-      for (auto& n : nodes_)
-        if (n->host != node.host) cut(node.host, n->host, hold, span);
-      break;
-    case 5:
+      return cut_peers(node);
+    case Trouble::state_outage:
       state_.outage(true, now_);
-      after(seconds(2 + chance() * 16), [this] { state_.outage(false, now_); });
-      break;
-    case 6:
-      with_victim([this](Cloud::Machine& m) { cloud_.die(m); });
-      break;
-    case 7:
+      return after(seconds(2 + chance() * 16), [this] { state_.outage(false, now_); });
+    case Trouble::state_slow:
+      state_slowness_ = 30;
+      return after(span, [this] { state_slowness_ = 1; });
+    case Trouble::state_flicker:
+      for (auto& n : nodes_) cut(n->host, kState, hold, seconds(1 + chance() * 4));
+      return;
+    case Trouble::machine_dies:
+      return with_victim([this](Cloud::Machine& m) { cloud_.die(m); });
+    case Trouble::machine_hangs:
       with_victim([](Cloud::Machine& m) { m.worker->hanging = true; });
-      after(seconds(2 + chance() * 11),
-            [with_victim] { with_victim([](Cloud::Machine& m) { m.worker->hanging = false; }); });
-      break;
-    case 8:
-      with_victim([](Cloud::Machine& m) { m.worker->sick = true; });
-      break;
-    case 9:
+      return after(seconds(2 + chance() * 11),
+                   [with_victim] { with_victim([](Cloud::Machine& m) { m.worker->hanging = false; }); });
+    case Trouble::machine_sick:
+      return with_victim([](Cloud::Machine& m) { m.worker->sick = true; });
+    case Trouble::machine_cut:
       for (auto& n : nodes_) cut(n->host, victim, hold, span);
-      break;
-    case 10:
+      return;
+    case Trouble::machine_deaf:
+      return with_victim([](Cloud::Machine& m) { m.worker->deaf = true; });
+    case Trouble::machine_restarts:
+      return with_victim([this](Cloud::Machine& m) { m.worker->restart(now_); });
+    case Trouble::cloud_outage:
       cloud_.outage(true);
-      after(span, [this] { cloud_.outage(false); });
-      break;
-    case 11:
-      for (auto& n : nodes_) cut(n->host, kState, hold, seconds(1 + chance() * 4));
-      break;
+      return after(span, [this] { cloud_.outage(false); });
+    case Trouble::zones_apart:
+      for (auto& n : nodes_) cut_workers(*n, "west");
+      return;
+    case Trouble::peers_refuse:
+      for (auto& n : nodes_) cut_peers(*n);
+      return;
+    case Trouble::count:
+      return;
   }
-  after(seconds(1 + chance() * 14), [this] { trouble(); });
 }
 
 // ---- the day -------------------------------------------------------------------------------------
@@ -519,7 +577,10 @@
     });
   after(millis(100), [this] { machines_step(); });
   after(seconds(9), [this] { ask_about_nothing(); });
-  if (plan_.troubles) at(plan_.trouble_from, [this] { trouble(); });
+  if (plan_.troubles)
+    at(plan_.trouble_from, [this] { trouble(); });
+  else
+    checker_.calm(now_);
   while (!events_.empty() && events_.begin()->first.first <= plan_.end) {
     now_ = events_.begin()->first.first;
     auto what = std::move(events_.begin()->second);
--- a/tests/sim/day.h
+++ b/tests/sim/day.h
@@ -18,7 +18,33 @@
   confirm_anything,  ///< polls for unknown jobs are answered 200
   call_done_early,   ///< running jobs are called done
   take_back,         ///< jobs that are done are called running
-  start_nothing      ///< start orders are lost
+  start_nothing,     ///< start orders are lost
+  starve_team,       ///< start orders for one team's jobs are lost
+  starve_large,      ///< start orders for large jobs are lost
+  ignore_one         ///< polls for one job get no answer
+};
+
+/// Kinds of trouble; those of a day are drawn from all, or it has one kind only.
+enum class Trouble {
+  crash,
+  crash_all,
+  lose_state,            ///< one controller
+  lose_workers,          ///< one controller
+  lose_peers,            ///< one controller
+  lose_state_and_peers,  ///< one controller, which still has its workers
+  state_outage,
+  state_slow,
+  state_flicker,
+  machine_dies,
+  machine_hangs,
+  machine_sick,
+  machine_cut,
+  machine_deaf,      ///< its reports arrive, but neither answers nor commands reach it
+  machine_restarts,  ///< back at once, with nothing on it
+  cloud_outage,
+  zones_apart,
+  peers_refuse,
+  count
 };
 
 struct DayPlan {
@@ -29,6 +55,7 @@
   Micros trouble_until = seconds(150);
   Micros end = seconds(330);
   int jobs = 24;
+  std::optional<Trouble> only;
   bool verbose = false;  ///< prints the controllers' logs and the troubles
 };
 
@@ -72,6 +99,7 @@
     events_.emplace(std::pair(when, ++order_), std::move(what));
   }
   void after(Micros span, std::function<void()> what) { at(now_ + span, std::move(what)); }
+  std::string a_machine();
   double chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
   int pick(int n) { return std::uniform_int_distribution<int>(0, n - 1)(random_); }
 
@@ -108,6 +136,10 @@
            std::function<void(const UserReply*)> answer);
   void ask_about_nothing();
   void trouble();
+  void start(Trouble kind);
+  void calm();
+  /// Some messages come a second time, much later, whatever has become of both ends.
+  void copy_later(std::function<void()> deliver);
   void make_users();
 
   DayPlan plan_;
@@ -127,6 +159,7 @@
     std::vector<std::function<void()>> parked;
   };
   std::map<std::pair<std::string, std::string>, Cut> cuts_;
+  double state_slowness_ = 1;
   std::size_t wrong_sums_ = 0;
   std::uint64_t lives_ = 0;
   std::uint64_t awards_ = 0;
--- a/tests/sim/services.h
+++ b/tests/sim/services.h
@@ -111,12 +111,14 @@
   void report_failed(Micros now);
   Response orders(const std::string& body, Micros now);
   void stop();
+  void restart(Micros now) { new_session(now); }
   void take_away(Micros in) { notice_ = in; }
 
   std::string target;  ///< the controller it reports to
   Micros retry_at{0};
   bool hanging = false;
   bool sick = false;
+  bool deaf = false;  ///< nothing reaches it
   std::uint64_t report_number = 0;
 
  private:
