--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -243,11 +243,12 @@
   p.cause = cause;
   const bool wanted = std::exchange(p.wanted, false);  // an ended task is in no sum
   part.changed();
-  if (cause != ExitCause::done && p.direct_token != 0) {
-    // The task may go elsewhere now, and a repeat of the direct start would run it here again. As long as
-    // the worker holds the attempt, ended, the repeat has no effect: keep it until the token is higher.
+  if (p.direct_token != 0) {
+    // A repeat of the direct start would run the task here again, though it may be elsewhere or over. As long
+    // as the worker holds the attempt, ended, the repeat has no effect: keep it until the token is higher.
+    // That is urgent if the task is to run again.
     p.pinned_by = std::max(p.pinned_by, p.direct_token);
-    part.token_wanted = true;
+    (cause == ExitCause::done ? part.token_old : part.token_wanted) = true;
   }
   auto it = part.jobs.find(id.task.job);
   if (it == part.jobs.end() || id.task.index >= it->second.tasks.size()) return;
@@ -517,6 +518,8 @@
     ++tally.up;
     if (now - (m.heard ? m.last_heard : part.taken_at) > late) ++tally.silent;
   }
+  // With no machine left there, nothing would ever show that the zone can be reached again.
+  std::erase_if(part.cut_zones, [&](const auto& cut) { return !zones.contains(cut.first); });
   for (const auto& [zone, tally] : zones) {
     auto cut = part.cut_zones.find(zone);
     if (tally.silent > 1 && tally.silent * 2 > tally.up) {
--- a/src/core/holdings.cpp
+++ b/src/core/holdings.cpp
@@ -8,7 +8,8 @@
 
 constexpr Micros kWordEvery = millis(1000);
 constexpr Micros kTokenEvery = millis(1000);  ///< every machine has to learn each new token
-constexpr Micros kResignFor = seconds(5);     ///< for the peer to take the part
+constexpr Micros kOldTokenEvery = seconds(8);
+constexpr Micros kResignFor = seconds(5);  ///< for the peer to take the part
 constexpr Micros kProbeEvery = seconds(2);
 constexpr std::size_t kProbed = 4;
 
@@ -26,8 +27,12 @@
   if (cluster_.now() >= next_word_) tell_peers();
   probe_workers();
   if (!cluster_.acting()) return;
-  for (auto& [name, part] : cluster_.parts)
-    if (part.token_wanted && !part.renewing_token && cluster_.now() >= part.next_token) raise_token(part);
+  for (auto& [name, part] : cluster_.parts) {
+    const Micros since = cluster_.now() - part.next_token;
+    if (!part.renewing_token &&
+        ((part.token_wanted && since >= Micros{0}) || (part.token_old && since >= kOldTokenEvery)))
+      raise_token(part);
+  }
   for (auto& [name, part] : cluster_.parts)
     if (part.ready() && !part.renewing_token)
       if (auto host = better_host(part)) return resign(part, *host);
@@ -275,7 +280,7 @@
 
 void Holdings::raise_token(Part& part) {
   part.renewing_token = true;
-  part.token_wanted = false;
+  part.token_wanted = part.token_old = false;
   part.next_token = cluster_.now() + kTokenEvery;
   StateCommit txn;
   txn.conditions = {cluster_.holds(part)};
@@ -290,6 +295,7 @@
           p->token = a.revision;
           cluster_.context.debug("part " + name + " raised its token to " + std::to_string(a.revision));
         } else {
+          p->token_old = true;
           p->token_wanted = a.outcome != Outcome::conflict;
           next_look_ = cluster_.now() + millis(200);
         }
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -206,6 +206,7 @@
   bool renewing_token = false;
   Micros next_token{0};
   bool token_wanted = false;  ///< a higher token is needed to settle a pinned start
+  bool token_old = false;  ///< and some day, for workers to forget ended attempts that were started directly
 
   std::map<std::string, Quota> shares;
   std::map<std::string, Quota> lending;  ///< share in a write under way: neither ours nor given yet
--- a/tests/sim/checker.h
+++ b/tests/sim/checker.h
@@ -33,6 +33,10 @@
   void off(const TaskId& task, const std::string& machine);
   void completed(const TaskId& task) { jobs_[task.job].completed.insert(task.index); }
 
+  bool is_completed(const TaskId& task) const {
+    auto it = jobs_.find(task.job);
+    return it != jobs_.end() && it->second.completed.contains(task.index);
+  }
   bool runs(const std::string& id) const { return jobs_.contains(id) && !jobs_.at(id).places.empty(); }
   /// All troubles are over: from now on everybody has to get answers.
   void calm(Micros now) { calm_since_ = now; }
--- a/tests/sim/day.cpp
+++ b/tests/sim/day.cpp
@@ -1,6 +1,7 @@
 #include "sim/day.h"
 
 #include "codec/codec.h"
+#include "core/overview.h"
 
 namespace bendtide::sim {
 
@@ -588,6 +589,13 @@
     what();
   }
   checker_.end();
+  if (!plan_.verbose) return;
+  for (const auto& node : nodes_)
+    if (node->core)
+      std::printf("%s\n%s\n%s\n%s\n", node->host.c_str(),
+                  overview::parts(node->core->cluster()).dump(1).c_str(),
+                  overview::jobs(node->core->cluster()).dump(1).c_str(),
+                  overview::machines(node->core->cluster()).dump(1).c_str());
 }
 
 std::vector<std::string> Day::unfinished() const {
--- a/tests/sim/services.cpp
+++ b/tests/sim/services.cpp
@@ -243,7 +243,8 @@
       const JobSpec* job = hooks_.job(key.first.job);
       images_.insert(job->image);
       held.phase = TaskPhase::running;
-      held.until = now + hooks_.run_time(key.first);
+      // A result is kept: a task that completed exits at once if it is started again.
+      held.until = hooks_.checker->is_completed(key.first) ? now : now + hooks_.run_time(key.first);
       hooks_.checker->on(key.first, machine_.name, machine_.type, machine_.zone, machine_.spot, now);
       if (sick) {
         hooks_.checker->off(key.first, machine_.name);
