--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -250,8 +250,10 @@
   auto may_stop = [&](const Job& victim) {
     if (own_team_only && victim.spec.team != job.spec.team) return false;
     if (victim.spec.priority < job.spec.priority) return true;
-    // For a guarantee, work of equal or higher priority is stopped only where no machine is to be had.
-    if (!job.unrentable || within_guarantee <= 0 || victim.spec.team == job.spec.team) return false;
+    // For a guarantee, work of equal priority is stopped only where no machine is to be had, and work of
+    // higher priority never: a service would be down for an array.
+    if (victim.spec.priority > job.spec.priority || victim.spec.team == job.spec.team) return false;
+    if (!job.unrentable || within_guarantee <= 0) return false;
     auto [it, fresh] = left.try_emplace(victim.spec.team);
     if (fresh) it->second = part.used(victim.spec.team);
     return !it->second.fits_in(guarantee(part, victim.spec.team));
