--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -103,16 +103,24 @@
   std::visit(Visitor{*this}, action);
 }
 
+/// What becomes of a call: surely not sent, answered, or neither.
+template <class Answer, class Read>
+static Answer answer_of(const io::HttpClient::Result& result, Read&& read) {
+  Answer answer;
+  if (!result.sent)
+    answer.outcome = Answer::Outcome::refused;
+  else if (result.status != 0)
+    answer = read(result.status, result.body);
+  return answer;
+}
+
 io::Task<> Daemon::call_state(std::uint64_t call, StateRequest request) {
   const Micros began = loop_.now();
   wire::HttpRequest http = wire::request_of(request);
   auto result = co_await state_.call(std::move(http.method), std::move(http.target), std::move(http.body),
                                      kStateWithin);
-  StateAnswer answer;
-  if (!result.sent)
-    answer.outcome = StateAnswer::Outcome::refused;
-  else if (result.status != 0)
-    answer = wire::state_answer(request, result.status, result.body);
+  const auto answer = answer_of<StateAnswer>(
+      result, [&](int status, const std::string& body) { return wire::state_answer(request, status, body); });
   metrics_.observe(Metrics::Kind::state, loop_.now() - began, result.status != 0 && result.status < 500);
   enter();
   core_.on_state(call, answer);
@@ -124,11 +132,8 @@
   wire::HttpRequest http = wire::request_of(request);
   auto result = co_await cloud_.call(std::move(http.method), std::move(http.target), std::move(http.body),
                                      kCloudWithin);
-  CloudAnswer answer;
-  if (!result.sent)
-    answer.outcome = CloudAnswer::Outcome::refused;
-  else if (result.status != 0)
-    answer = wire::cloud_answer(request, result.status, result.body);
+  const auto answer = answer_of<CloudAnswer>(
+      result, [&](int status, const std::string& body) { return wire::cloud_answer(request, status, body); });
   metrics_.observe(Metrics::Kind::cloud, loop_.now() - began, answer.ok());
   enter();
   core_.on_cloud(call, answer);
@@ -141,11 +146,7 @@
   io::HttpClient client(loop_, request.address, 0, kWorkerBody);
   auto result = co_await client.call(std::move(http.method), std::move(http.target), std::move(http.body),
                                      kOrdersWithin);
-  OrdersAnswer answer;
-  if (!result.sent)
-    answer.outcome = OrdersAnswer::Outcome::refused;
-  else if (result.status != 0)
-    answer = wire::orders_answer(result.status, result.body);
+  const auto answer = answer_of<OrdersAnswer>(result, wire::orders_answer);
   metrics_.observe(Metrics::Kind::orders, loop_.now() - began,
                    answer.outcome == OrdersAnswer::Outcome::executed);
   enter();
--- a/src/core/claims.cpp
+++ b/src/core/claims.cpp
@@ -20,15 +20,11 @@
   return {m.name, m.type, m.zone, m.spot, m.address, m.rented};
 }
 
-Machine machine_of(const records::ClaimedMachine& claim) {
-  Machine m;
-  m.name = claim.name;
-  m.type = claim.type;
-  m.zone = claim.zone;
-  m.spot = claim.spot;
-  m.address = claim.address;
-  m.rented = claim.rented;
-  return m;
+/// The block that a key names, if it is one of the part.
+std::optional<std::uint32_t> block_of(const std::string& key, const std::string& part) {
+  const auto pieces = records::split_key(key);
+  if (pieces.size() != 3 || pieces[1] != part) return std::nullopt;
+  return static_cast<std::uint32_t>(std::strtoul(pieces[2].c_str(), nullptr, 10));
 }
 
 }  // namespace
@@ -89,29 +85,29 @@
     if (auto claims = records::claims(row.value))
       for (const records::ClaimedMachine& c : *claims) part_of_[c.name] = key[1];
   }
-  // What is gone but not written yet.
-  for (auto& [name, part] : cluster_.parts)
-    if (part.ready())
-      std::erase_if(part_of_, [&](const auto& claim) {
-        return claim.second == name && !part.machines.contains(claim.first);
-      });
+  // What was claimed or is gone since, or is not written yet.
+  for (auto& [name, part] : cluster_.parts) {
+    if (!part.ready()) continue;
+    std::erase_if(part_of_, [&](const auto& claim) { return claim.second == name; });
+    for (const auto& [machine, m] : part.machines) part_of_[machine] = name;
+  }
+}
+
+void Claims::add_block(Part& part, std::uint32_t number, const StateRow& row, bool settled) {
+  part.claim_blocks[number] = {row.stamp, false, false};
+  auto claims = records::claims(row.value);
+  if (!claims) return;
+  for (const records::ClaimedMachine& c : *claims) {
+    Machine m = machine_of(c);
+    m.claim_block = number;
+    hooks_.claimed(part, m, settled);
+  }
 }
 
 void Claims::load(Part& part, const std::vector<StateRow>& rows) {
   learn(rows);
-  for (const StateRow& row : rows) {
-    const auto key = records::split_key(row.key);
-    if (key.size() != 3 || key[1] != part.name) continue;
-    const auto number = static_cast<std::uint32_t>(std::strtoul(key[2].c_str(), nullptr, 10));
-    part.claim_blocks[number] = {row.stamp, false, false};
-    auto claims = records::claims(row.value);
-    if (!claims) continue;
-    for (const records::ClaimedMachine& c : *claims) {
-      Machine m = machine_of(c);
-      m.claim_block = number;
-      hooks_.claimed(part, m, false);
-    }
-  }
+  for (const StateRow& row : rows)
+    if (auto number = block_of(row.key, part.name)) add_block(part, *number, row, false);
 }
 
 void Claims::relearn() {
@@ -128,22 +124,13 @@
     for (auto& [name, part] : cluster_.parts) {
       if (!part.ready()) continue;
       for (const StateRow& row : a.rows) {
-        const auto key = records::split_key(row.key);
-        if (key.size() != 3 || key[1] != name) continue;
-        const auto number = static_cast<std::uint32_t>(std::strtoul(key[2].c_str(), nullptr, 10));
-        auto [block, fresh] = part.claim_blocks.try_emplace(number);
-        if (!fresh) {
-          if (std::exchange(block->second.in_doubt, false)) block->second.stamp = row.stamp;
-          continue;
-        }
-        block->second.stamp = row.stamp;
-        auto claims = records::claims(row.value);
-        if (!claims) continue;
-        for (const records::ClaimedMachine& c : *claims) {
-          Machine m = machine_of(c);
-          m.claim_block = number;
-          hooks_.claimed(part, m, true);
-        }
+        const auto number = block_of(row.key, name);
+        if (!number) continue;
+        auto block = part.claim_blocks.find(*number);
+        if (block == part.claim_blocks.end())
+          add_block(part, *number, row, true);
+        else if (std::exchange(block->second.in_doubt, false))
+          block->second.stamp = row.stamp;
       }
       // A block in doubt that is not there is no more: its removal was made.
       std::erase_if(part.claim_blocks, [](const auto& b) { return b.second.in_doubt; });
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -68,14 +68,8 @@
   defer(request, report);
   // A machine that nobody claimed was never given a token: this one was claimed by somebody, or deleted.
   if (report.token != 0) return claims_.doubt();
-  Machine m;
-  m.name = report.machine;
-  m.address = report.address;
-  m.type = report.type;
-  m.zone = report.zone;
-  m.spot = report.spot;
-  m.rented = cluster_.context.wall;
-  claims_.want(*part, std::move(m));
+  claims_.want(*part, machine_of({report.machine, report.type, report.zone, report.spot, report.address,
+                                  cluster_.context.wall}));
 }
 
 Machine& Fleet::add(Part& part, const Machine& machine, bool settled) {
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -170,6 +170,17 @@
   }
 };
 
+inline Machine machine_of(const records::ClaimedMachine& c) {
+  Machine m;
+  m.name = c.name;
+  m.type = c.type;
+  m.zone = c.zone;
+  m.spot = c.spot;
+  m.address = c.address;
+  m.rented = c.rented;
+  return m;
+}
+
 /// A job that has tasks to start, in the order in which its part serves them.
 struct Ranked {
   Job* job = nullptr;
--- a/src/core/renter.cpp
+++ b/src/core/renter.cpp
@@ -237,13 +237,8 @@
           Part* p = cluster_.known(name, generation);
           for (const std::string& machine : a.names) {
             if (p == nullptr) break;  // found as strays later
-            Machine m;
-            m.name = machine;
-            m.type = kind.type;
-            m.zone = kind.zone;
-            m.spot = kind.spot;
-            m.rented = cluster_.context.wall;
-            fleet_.claims().want(*p, std::move(m));
+            fleet_.claims().want(
+                *p, machine_of({machine, kind.type, kind.zone, kind.spot, {}, cluster_.context.wall}));
           }
         }
       });
@@ -310,14 +305,8 @@
       if (fleet_.claims().part_of(c.name) != nullptr || fleet_.claims().home_part(c.name, c.zone) != name)
         continue;
       if (c.age < pause) continue;  // whoever rented it is about to claim it
-      Machine m;
-      m.name = c.name;
-      m.address = c.address;
-      m.type = c.type;
-      m.zone = c.zone;
-      m.spot = c.spot;
-      m.rented = cluster_.context.wall - c.age;
-      fleet_.claims().want(*p, std::move(m));
+      fleet_.claims().want(
+          *p, machine_of({c.name, c.type, c.zone, c.spot, c.address, cluster_.context.wall - c.age}));
     }
     // Page after page, then from the beginning.
     list_from_ = a.more && !a.machines.empty() ? a.machines.back().name : "";
--- a/tests/sim/day.cpp
+++ b/tests/sim/day.cpp
@@ -295,7 +295,7 @@
   Worker& worker = *machine.worker;
   if (worker.target.empty()) worker.target = nodes_[static_cast<std::size_t>(pick(3))]->host;
   const std::string name = machine.name, host = worker.target;
-  const std::string body = worker.report(now_, 0);
+  const std::string body = worker.report(now_);
   const std::uint64_t number = worker.report_number;
   auto with_worker = [this, name, number](const std::function<void(Worker&)>& f) {
     auto it = cloud_.machines().find(name);
--- a/tests/sim/services.cpp
+++ b/tests/sim/services.cpp
@@ -282,7 +282,7 @@
   return pause >= settings_.report_every || (changed_ && pause >= millis(500));
 }
 
-std::string Worker::report(Micros now, std::uint64_t) {
+std::string Worker::report(Micros now) {
   reporting_ = true;
   changed_ = false;
   last_report_ = sent_ = now;
--- a/tests/sim/services.h
+++ b/tests/sim/services.h
@@ -105,7 +105,7 @@
   void advance(Micros now);
   /// Whether a report is due; then its body.
   bool wants_report(Micros now) const;
-  std::string report(Micros now, std::uint64_t seed);
+  std::string report(Micros now);
   void report_answered(int status, const std::string& body, Micros now);
   bool reporting() const { return reporting_; }
   void report_failed(Micros now);
