--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -60,6 +60,19 @@
   EXPECT_LE(day.most_failures(), 12u);
 }
 
+// They report between the silences of their worker's other tries, and so are never silent for long enough.
+TEST(DeafMachines, AreReplaced) {
+  DayPlan plan;
+  plan.seed = 3;
+  plan.only = Trouble::machine_deaf;
+  plan.slow_reports = plan.deaf_for_good = true;
+  Day day(plan);
+  day.play();
+  EXPECT_EQ(day.checker().summary(), "");
+  EXPECT_EQ(day.unfinished(), std::vector<std::string>{});
+  EXPECT_EQ(day.deaf_machines(), 0u);
+}
+
 INSTANTIATE_TEST_SUITE_P(Kinds, DayOfOneTrouble, testing::Range(0, static_cast<int>(Trouble::count)));
 
 TEST(QuietDay, FinishesEverythingAndNegotiates) {
--- a/tests/sim/day.cpp
+++ b/tests/sim/day.cpp
@@ -18,12 +18,12 @@
 
 }  // namespace
 
-Settings settings_of_a_day() {
+Settings settings_of_a_day(bool slow_reports) {
   Settings s;
   s.zones = {"east", "west"};
   s.teams = {{"blue", {16000, 0}, {48000, 0}}, {"green", {16000, 0}, {30000, 0}}};
-  s.report_every = seconds(1.5);
-  s.worker_lease = seconds(12);
+  s.report_every = seconds(slow_reports ? 4 : 1.5);
+  s.worker_lease = seconds(slow_reports ? 20 : 12);
   s.cancel_within = seconds(40);
   s.state_calls_per_s = 200;
   s.state_writes_per_s = 60;
@@ -37,7 +37,7 @@
 
 Day::Day(DayPlan plan)
     : plan_(plan),
-      settings_(settings_of_a_day()),
+      settings_(settings_of_a_day(plan.slow_reports)),
       random_(plan.seed),
       checker_(settings_),
       state_(settings_),
@@ -293,7 +293,7 @@
 
 void Day::report(Cloud::Machine& machine) {
   Worker& worker = *machine.worker;
-  if (worker.target.empty()) worker.target = nodes_[static_cast<std::size_t>(pick(3))]->host;
+  if (worker.target.empty()) worker.target = nodes_[worker.next_node++ % nodes_.size()]->host;
   const std::string name = machine.name, host = worker.target;
   const std::string body = worker.report(now_);
   const std::uint64_t number = worker.report_number;
@@ -482,7 +482,10 @@
 
 void Day::calm() {
   for (auto& [name, m] : cloud_.machines())
-    if (m.worker) m.worker->sick = m.worker->hanging = m.worker->deaf = false;
+    if (m.worker) {
+      m.worker->sick = m.worker->hanging = false;
+      if (!plan_.deaf_for_good) m.worker->deaf = false;
+    }
   // The last of the troubles that are under way ends within this.
   after(seconds(35), [this] { checker_.calm(now_); });
 }
@@ -599,6 +602,12 @@
                   overview::machines(node->core->cluster()).dump(1).c_str());
 }
 
+std::size_t Day::deaf_machines() {
+  std::size_t n = 0;
+  for (auto& [name, m] : cloud_.machines()) n += m.worker && !m.dead && m.worker->deaf ? 1 : 0;
+  return n;
+}
+
 std::vector<std::string> Day::unfinished() const {
   std::vector<std::string> out;
   for (const auto& user : users_) {
--- a/tests/sim/day.h
+++ b/tests/sim/day.h
@@ -56,10 +56,12 @@
   Micros end = seconds(330);
   int jobs = 24;
   std::optional<Trouble> only;
+  bool slow_reports = false;  ///< so that a deaf machine is heard before it counts as silent
+  bool deaf_for_good = false;
   bool verbose = false;  ///< prints the controllers' logs and the troubles
 };
 
-Settings settings_of_a_day();
+Settings settings_of_a_day(bool slow_reports = false);
 
 class Day {
  public:
@@ -71,6 +73,8 @@
   std::vector<std::string> unfinished() const;
   const StateService& state() const { return state_; }
   std::uint64_t awards() const;
+  /// Machines that nothing reaches, still there at the end.
+  std::size_t deaf_machines();
   /// The most tasks that failed on one machine.
   std::size_t most_failures() const { return most_failures_; }
   /// How often a part's sums differed from what they stand for.
--- a/tests/sim/services.h
+++ b/tests/sim/services.h
@@ -114,7 +114,8 @@
   void restart(Micros now) { new_session(now); }
   void take_away(Micros in) { notice_ = in; }
 
-  std::string target;  ///< the controller it reports to
+  std::string target;         ///< the controller it reports to
+  std::size_t next_node = 0;  ///< the one to be tried next, if none is known
   Micros retry_at{0};
   bool hanging = false;
   bool sick = false;
--- a/tests/size_test.cpp
+++ b/tests/size_test.cpp
@@ -13,13 +13,17 @@
 std::size_t allocations = 0;
 }
 
-[[gnu::noinline]] void* operator new(std::size_t size) {
+[[gnu::noinline]] void* operator new(std::size_t size, const std::nothrow_t&) noexcept {
   ++allocations;
-  if (void* p = std::malloc(size)) return p;
+  return std::malloc(size);
+}
+[[gnu::noinline]] void* operator new(std::size_t size) {
+  if (void* p = operator new(size, std::nothrow)) return p;
   throw std::bad_alloc();
 }
 [[gnu::noinline]] void operator delete(void* p) noexcept { std::free(p); }
 [[gnu::noinline]] void operator delete(void* p, std::size_t) noexcept { std::free(p); }
+[[gnu::noinline]] void operator delete(void* p, const std::nothrow_t&) noexcept { std::free(p); }
 
 namespace bendtide::sim {
 namespace {
