--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -60,6 +60,18 @@
   EXPECT_LE(day.most_failures(), 12u);
 }
 
+TEST(SmallLimits, WhatWouldExceedThemIsSplit) {
+  DayPlan plan;
+  plan.seed = 7;
+  plan.jobs = 50;
+  plan.small_values = true;
+  Day day(plan);
+  day.play();
+  EXPECT_EQ(day.checker().summary(), "");
+  EXPECT_EQ(day.unfinished(), std::vector<std::string>{});
+  EXPECT_EQ(day.state().too_large(), 0u);
+}
+
 // They report between the silences of their worker's other tries, and so are never silent for long enough.
 TEST(DeafMachines, AreReplaced) {
   DayPlan plan;
--- a/tests/sim/day.cpp
+++ b/tests/sim/day.cpp
@@ -18,17 +18,17 @@
 
 }  // namespace
 
-Settings settings_of_a_day(bool slow_reports) {
+Settings settings_of_a_day(const DayPlan& plan) {
   Settings s;
   s.zones = {"east", "west"};
   s.teams = {{"blue", {16000, 0}, {48000, 0}}, {"green", {16000, 0}, {30000, 0}}};
-  s.report_every = seconds(slow_reports ? 4 : 1.5);
-  s.worker_lease = seconds(slow_reports ? 20 : 12);
+  s.report_every = seconds(plan.slow_reports ? 4 : 1.5);
+  s.worker_lease = seconds(plan.slow_reports ? 20 : 12);
   s.cancel_within = seconds(40);
   s.state_calls_per_s = 200;
   s.state_writes_per_s = 60;
-  s.state_value_bytes = 8 * 1024;
-  s.state_transaction_writes = 12;
+  s.state_value_bytes = plan.small_values ? 900 : 8 * 1024;
+  s.state_transaction_writes = plan.small_values ? 5 : 12;
   s.cloud_calls_per_s = 4;
   s.cloud_list_lag = seconds(3);
   s.sockets = 800;
@@ -37,7 +37,7 @@
 
 Day::Day(DayPlan plan)
     : plan_(plan),
-      settings_(settings_of_a_day(plan.slow_reports)),
+      settings_(settings_of_a_day(plan)),
       random_(plan.seed),
       checker_(settings_),
       state_(settings_),
--- a/tests/sim/day.h
+++ b/tests/sim/day.h
@@ -58,10 +58,11 @@
   std::optional<Trouble> only;
   bool slow_reports = false;  ///< so that a deaf machine is heard before it counts as silent
   bool deaf_for_good = false;
-  bool verbose = false;  ///< prints the controllers' logs and the troubles
+  bool small_values = false;  ///< the state service takes little at once
+  bool verbose = false;       ///< prints the controllers' logs and the troubles
 };
 
-Settings settings_of_a_day(bool slow_reports = false);
+Settings settings_of_a_day(const DayPlan& plan = {});
 
 class Day {
  public:
--- a/tests/size_test.cpp
+++ b/tests/size_test.cpp
@@ -58,6 +58,7 @@
     return n;
   }
   std::size_t state_calls() const { return state_calls_; }
+  std::size_t too_large() const { return state_.too_large(); }
 
   void submit(int number, std::uint32_t tasks) {
     JobSpec spec;
@@ -182,6 +183,7 @@
   Cluster large(900);
   // 900 machines in blocks of a value's size and 90 jobs, with the regular reading of twenty seconds.
   EXPECT_LE(large.state_calls(), 400u);
+  EXPECT_EQ(large.too_large(), 0u);
 }
 
 }  // namespace
