Calls in turn, and one refusal for all alike: renting no longer waits behind 40 jobs

Two calls a tenth of a second and a pause of two seconds let only the first 40 of the queue call, again and again; machines are rented for refused jobs only, so 115 were rented after 45 s, in orders of one to three. Ruled out: the cloud's rate, capacity, share.

--- a/src/core/contract.cpp
+++ b/src/core/contract.cpp
@@ -83,13 +83,20 @@
 void ContractNet::start_calls(Part& part) {
   const Micros now = cluster_.now();
   if (cluster_.routes.size() < 2 || cluster_.store.busy()) return;
-  // Those that are served first call first; a few at a time, as every call costs each peer a look.
+  // Those that have waited longest for their turn call first, and of these those that are served first; a few at
+  // a time, as every call costs each peer a look. In the queue's order alone, the first few jobs would call
+  // again and again, and no machine would ever be rented for the others.
+  std::vector<Job*> due;
+  for (const Ranked& ranked : part.queue)
+    if (ranked.job->overflow > 0 && now >= ranked.job->next_call && ranked.job->offered == 0)
+      due.push_back(ranked.job);
+  std::stable_sort(due.begin(), due.end(),
+                   [](const Job* a, const Job* b) { return a->next_call < b->next_call; });
   std::size_t calls = 0;
-  for (const Ranked& ranked : part.queue) {
-    Job& job = *ranked.job;
+  for (Job* next : due) {
+    Job& job = *next;
     const std::string& id = job.spec.id;
     if (calls >= kCallsPerTick || open_.size() >= kOpen) return;
-    if (job.overflow == 0 || now < job.next_call || job.offered > 0) continue;
     // What can't be awarded may still lack share, which peers can hand over.
     if (!may_be_awarded(job) && !job.short_of_share) {
       job.refused = true;
@@ -171,7 +178,7 @@
   if (feasible.empty()) {
     ++counters_.infeasible;
     job.refused = true;
-    if (!job.short_of_share) return;
+    if (!job.short_of_share) return refuse_alike(*part, job);
     // Nobody has room under its own share; unused share may still be had.
     const Proposal* richest = nullptr;
     for (const auto& [name, p] : n.proposals)
@@ -199,6 +206,21 @@
   award(*part, job, feasible.front());
 }
 
+/// Who had no room for one task of this job has none for its like either: these need not call one by one.
+void ContractNet::refuse_alike(Part& part, const Job& refused) {
+  const JobSpec& r = refused.spec;
+  for (const Ranked& ranked : part.queue) {
+    Job& job = *ranked.job;
+    const JobSpec& s = job.spec;
+    if (&job == &refused || job.overflow == 0 || job.offered > 0 || job.short_of_share) continue;
+    if (s.team != r.team || s.priority > r.priority || s.spot != r.spot || s.zone != r.zone ||
+        s.types != r.types || !r.each.fits_in(s.each))
+      continue;
+    job.refused = true;
+    job.next_call = std::max(job.next_call, refused.next_call);
+  }
+}
+
 void ContractNet::award(Part& part, Job& job, const Proposal& best) {
   if (part.room_busy || part.room_stale || part.room_stamp == 0) return;
   const Quota each = quota_of(job.spec.each);
--- a/src/core/contract.h
+++ b/src/core/contract.h
@@ -46,6 +46,7 @@
   bool may_be_awarded(const Job& job) const;
   void ask(Negotiation& n);
   void decide(std::uint64_t id);
+  void refuse_alike(Part& part, const Job& refused);
   void award(Part& part, Job& job, const Proposal& best);
   /// What was awarded to us, once we can't tell any more whether it still is.
   void stop_awarded(Part& part);
--- a/src/core/renter.cpp
+++ b/src/core/renter.cpp
@@ -216,8 +216,10 @@
   }
   const std::map<Kind, int> wanted = demand(part);
   if (wanted.empty()) return;
-  // One at a time: the next pass sees what this one brought.
-  order(part, next_charter(), wanted.begin()->first, std::min(wanted.begin()->second, kMachinesPerOrder));
+  // One at a time, as the next pass sees what this one brought: the largest, as orders are few.
+  const auto& [kind, count] = *std::max_element(
+      wanted.begin(), wanted.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+  order(part, next_charter(), kind, std::min(count, kMachinesPerOrder));
 }
 
 void Renter::order(Part& part, const std::string& charter, const Kind& kind, int count) {
@@ -232,8 +234,8 @@
           unanswered_[charter] = {kind, count};
         } else if (a.ok()) {
           if (static_cast<int>(a.names.size()) < count) refused(kind);
-          cluster_.context.info("rented " + std::to_string(a.names.size()) + " " + kind.type + " in " +
-                                kind.zone + (kind.spot ? " (spot)" : ""));
+          cluster_.context.info("rented " + std::to_string(a.names.size()) + " of " + std::to_string(count) +
+                                " " + kind.type + " in " + kind.zone + (kind.spot ? " (spot)" : ""));
           Part* p = cluster_.known(name, generation);
           for (const std::string& machine : a.names) {
             if (p == nullptr) break;  // found as strays later
