Claims name the machines in use; suspect jobs get room for one try

A take-over waited a lease for machines that were still booting, and for reports where the address was not on record. Now a claim names the address before anything is started on the machine; the others are settled at once.

--- a/src/core/claims.cpp
+++ b/src/core/claims.cpp
@@ -8,6 +8,8 @@
 
 constexpr Micros kReadEvery = seconds(1);
 constexpr Micros kRewriteEvery = seconds(2);
+constexpr Micros kUrgentEvery = millis(400);  ///< machines that came up meanwhile share a write
+constexpr std::size_t kBlocksPerWrite = 4;
 
 /// The number at the end of a name, which spreads machines evenly.
 std::uint64_t trailing_number(const std::string& name) {
@@ -47,6 +49,11 @@
   wanted_[part.name].push_back(std::move(machine));
 }
 
+void Claims::came_up(Part& part, const Machine& machine) {
+  if (auto it = part.claim_blocks.find(machine.claim_block); it != part.claim_blocks.end())
+    it->second.urgent = true;
+}
+
 void Claims::forget(Part& part, const Machine& machine) {
   part_of_.erase(machine.name);
   if (auto it = part.claim_blocks.find(machine.claim_block); it != part.claim_blocks.end())
@@ -64,7 +71,8 @@
   for (auto& [name, part] : cluster_.parts) {
     if (!part.ready()) continue;
     if (!writing_ && !doubted_ && !reading_) write_new(part);
-    if (!writing_ && cluster_.now() >= next_rewrite_) rewrite(part);
+    if (cluster_.now() >= next_urgent_) rewrite(part, true);
+    if (!writing_ && cluster_.now() >= next_rewrite_) rewrite(part, false);
   }
 }
 
@@ -94,13 +102,13 @@
 }
 
 void Claims::add_block(Part& part, std::uint32_t number, const StateRow& row, bool settled) {
-  part.claim_blocks[number] = {row.stamp, false, false};
+  part.claim_blocks[number].stamp = row.stamp;
   auto claims = records::claims(row.value);
   if (!claims) return;
   for (const records::ClaimedMachine& c : *claims) {
     Machine m = machine_of(c);
     m.claim_block = number;
-    hooks_.claimed(part, m, settled);
+    hooks_.claimed(part, m, settled || !m.in_use);
   }
 }
 
@@ -192,7 +200,7 @@
       // Nobody used these machines before they were claimed: nothing unknown can be on them.
       if (part != nullptr) hooks_.claimed(*part, m, true);
     }
-    if (part != nullptr) part->claim_blocks[block] = {a.revision, false, false};
+    if (part != nullptr) part->claim_blocks[block].stamp = a.revision;
     hooks_.learned();
     return;
   }
@@ -214,41 +222,54 @@
   return out;
 }
 
-/// Blocks whose machines are gone in part are written anew, or removed.
-void Claims::rewrite(Part& part) {
+/// Blocks whose machines came up, or are gone in part, are written anew, or removed.
+void Claims::rewrite(Part& part, bool urgent_only) {
+  struct Written {
+    std::uint32_t block;
+    bool removed;
+    std::vector<std::string> up;  ///< machines whose address it names
+  };
   StateCommit txn;
   txn.conditions = {cluster_.holds(part)};
-  std::vector<std::pair<std::uint32_t, bool>> blocks;  // and whether it is removed
+  std::vector<Written> written;
   for (auto& [number, block] : part.claim_blocks) {
-    if (!block.dirty || block.in_doubt) continue;
-    if (txn.writes.size() >= 4) break;
+    if (!(block.urgent || (block.dirty && !urgent_only)) || block.writing || block.in_doubt) continue;
+    if (written.size() >= kBlocksPerWrite) break;
     const std::vector<records::ClaimedMachine> left = machines_of(part, number);
     const std::string key = records::claim_key(part.name, number);
     txn.conditions.push_back({key, block.stamp});
     txn.writes.push_back({key, left.empty() ? std::nullopt : std::optional(records::to_json(left)), 0});
-    blocks.emplace_back(number, left.empty());
-    block.dirty = false;
+    Written& w = written.emplace_back(Written{number, left.empty(), {}});
+    for (const records::ClaimedMachine& m : left)
+      if (!m.address.empty()) w.up.push_back(m.name);
+    block.dirty = block.urgent = false;
+    block.writing = true;
   }
-  if (txn.writes.empty()) return;
-  next_rewrite_ = cluster_.now() + kRewriteEvery;
+  if (written.empty()) return;
+  (urgent_only ? next_urgent_ : next_rewrite_) =
+      cluster_.now() + (urgent_only ? kUrgentEvery : kRewriteEvery);
   cluster_.store.commit(
       std::move(txn),
-      [this, name = part.name, generation = part.generation, blocks](const StateAnswer& a) {
+      [this, name = part.name, generation = part.generation, written](const StateAnswer& a) {
         Part* p = cluster_.known(name, generation);
         if (p == nullptr) return;
-        for (const auto& [number, removed] : blocks) {
-          ClaimBlock& block = p->claim_blocks[number];
-          if (a.ok()) {
-            block.stamp = a.revision;
-            if (removed) p->claim_blocks.erase(number);
-          } else {
-            block.dirty = true;
+        for (const Written& w : written) {
+          ClaimBlock& block = p->claim_blocks[w.block];
+          block.writing = false;
+          if (!a.ok()) {
+            block.dirty = block.urgent = true;
             block.in_doubt = a.outcome != Outcome::refused;
+            continue;
           }
+          block.stamp = a.revision;
+          for (const std::string& machine : w.up)
+            if (auto m = p->machines.find(machine); m != p->machines.end()) m->second.in_use = true;
+          if (w.removed && !block.dirty && !block.urgent) p->claim_blocks.erase(w.block);
         }
+        p->changed();
         if (!a.ok() && a.outcome != Outcome::refused) doubt();
       },
-      Store::Rank::later);
+      urgent_only ? Store::Rank::normal : Store::Rank::later);
 }
 
 }  // namespace bendtide
--- a/src/core/claims.h
+++ b/src/core/claims.h
@@ -5,6 +5,10 @@
 // is the record of its home part (home_part): every claim of a machine rewrites it, on condition that nobody
 // did since the claims were last read. So the claims of the machines of one home are made one after the
 // other, each in the knowledge of all before it.
+//
+// A claim names the machine's address once the machine is up and about to be used. Nothing is started on a
+// machine before that is written; so who takes a part over knows that nothing can be on the others (those
+// still booting), and where the ones that were used can be reached at once.
 #pragma once
 
 #include <deque>
@@ -27,6 +31,8 @@
   void tick();
   /// A machine that nobody is known to have claimed: it is claimed for `part` with one of the next writes.
   void want(Part& part, Machine machine);
+  /// A machine of a part is up: its claim is to name its address.
+  void came_up(Part& part, const Machine& machine);
   /// A machine of a part is gone.
   void forget(Part& part, const Machine& machine);
   /// Reads all claims once more, before long.
@@ -49,7 +55,7 @@
   void write_new(Part& part);
   void on_written(const std::string& part, std::uint64_t generation, std::uint32_t block,
                   std::vector<Machine> batch, const std::set<std::string>& homes, const StateAnswer& a);
-  void rewrite(Part& part);
+  void rewrite(Part& part, bool urgent_only);
   std::vector<records::ClaimedMachine> machines_of(const Part& part, std::uint32_t block) const;
 
   Cluster& cluster_;
@@ -63,6 +69,7 @@
   bool doubted_ = false;
   Micros next_reading_{0};
   Micros next_rewrite_{0};
+  Micros next_urgent_{0};
 };
 
 }  // namespace bendtide
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -168,6 +168,7 @@
   m.sequence = report.sequence;
   m.address = report.address;
   if (!m.heard || m.lost) part.changed();
+  if (!m.heard && !m.in_use) claims_.came_up(part, m);
   m.heard = true;
   m.lost = false;
   m.last_heard = now;
@@ -468,7 +469,7 @@
 
 bool Fleet::usable(const Machine& m) const {
   const Micros now = cluster_.now();
-  return m.heard && m.settled && !m.lost && !m.condemned && !m.quarantined && !m.notice_until &&
+  return m.heard && m.settled && m.in_use && !m.lost && !m.condemned && !m.quarantined && !m.notice_until &&
          m.unheeded < kDeafSigns - 1 && now >= m.avoid_until &&
          now - m.last_heard <= cluster_.context.settings.report_every * 2 + millis(500);
 }
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -130,6 +130,7 @@
   int services = 0;  ///< tasks among them that run until they are cancelled
   Micros rented{0};  ///< wall clock
   std::uint32_t claim_block = 0;
+  bool in_use = false;  ///< its claim names its address: only then may anything be started on it
 
   std::uint64_t session = 0;
   std::uint64_t sequence = 0;           ///< of the newest account
@@ -180,6 +181,7 @@
   m.spot = c.spot;
   m.address = c.address;
   m.rented = c.rented;
+  m.in_use = !c.address.empty();
   return m;
 }
 
@@ -204,6 +206,8 @@
 struct ClaimBlock {
   std::uint64_t stamp = 0;
   bool dirty = false;     ///< machines of it are gone
+  bool urgent = false;    ///< machines of it came up, and are to be used
+  bool writing = false;   ///< a write is under way
   bool in_doubt = false;  ///< a write without answer
 };
 
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -151,8 +151,9 @@
   return out;
 }
 std::size_t claim_bytes(const ClaimedMachine& m) {
-  constexpr std::size_t kRound = 48;  // quotes, commas, brackets, the flag and the time
-  return m.name.size() + m.type.size() + m.zone.size() + m.address.size() + kRound;
+  constexpr std::size_t kRound = 48;    // quotes, commas, brackets, the flag and the time
+  constexpr std::size_t kAddress = 24;  // it may come later
+  return m.name.size() + m.type.size() + m.zone.size() + std::max(m.address.size(), kAddress) + kRound;
 }
 std::optional<std::vector<ClaimedMachine>> claims(const Value& v) {
   return read<std::vector<ClaimedMachine>>(v, [](std::vector<ClaimedMachine>& out, const Value& in) {
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -175,7 +175,9 @@
     std::erase_if(open, useless);
     if (!job.waiting.empty() && !quota_of(job.spec.each).fits_in(part.free_share(job.spec.team)))
       job.short_of_share = true;
-    if (!job.suspect()) job.overflow = static_cast<std::uint32_t>(job.waiting.size());
+    // One that may be faulty itself needs room for one try, or with no machine left it would wait for ever.
+    job.overflow = job.suspect() ? std::uint32_t{job.present == 0 && !job.waiting.empty()}
+                                 : static_cast<std::uint32_t>(job.waiting.size());
     if (job.overflow == 0) job.refused = job.unrentable = false;
     if (job.overflow > 0 && attempts > 0 && may_make_room(job)) {
       --attempts;
