A part is handed over with what is known of its silent machines; a term within the workers' lease

Now the holder that lets go tells what may be on its silent machines, and the term leaves time for a report to the next holder.

--- a/src/codec/codec.cpp
+++ b/src/codec/codec.cpp
@@ -38,6 +38,11 @@
   }
   void field(const Resources& r) { fields(r.cpu, r.gpu, r.memory); }
   void field(const Quota& q) { fields(q.cpu, q.gpu); }
+  template <class T, class F>
+  void list(const std::vector<T>& list, F&& each) {
+    field(std::uint64_t{list.size()});
+    for (const T& one : list) each(*this, one);
+  }
   template <class E>
   requires std::is_enum_v<E>
   void field(E e, E) { field(static_cast<std::uint64_t>(e)); }
@@ -119,6 +124,13 @@
   }
   void field(Resources& r) { fields(r.cpu, r.gpu, r.memory); }
   void field(Quota& q) { fields(q.cpu, q.gpu); }
+  template <class T, class F>
+  void list(std::vector<T>& list, F&& each) {
+    std::uint64_t size = 0;
+    field(size);
+    if (!good_ || size > in_.size() - pos_) return fail();
+    for (std::uint64_t i = 0; i < size && good_; ++i) each(*this, list.emplace_back());
+  }
   template <class E>
   requires std::is_enum_v<E>
   void field(E& e, E last) {
@@ -183,7 +195,15 @@
 void describe(A& a, M& m) { a.fields(m.state_answers, m.your_reports); }
 template <class A, class M>
 requires std::is_same_v<std::remove_const_t<M>, Resign>
-void describe(A& a, M& m) { a.fields(m.part, m.token); }
+void describe(A& a, M& m) {
+  a.fields(m.part, m.token, m.asked_for);
+  a.list(m.silent, [](auto& b, auto& s) {
+    b.fields(s.machine, s.heard_ago, s.answered_ago);
+    b.list(s.tasks, [](auto& c, auto& t) {
+      c.fields(t.task.job, t.task.index, t.attempt), c.field(t.phase, TaskPhase::exited);
+    });
+  });
+}
 template <class A, class M>
 requires std::is_same_v<std::remove_const_t<M>, Scarce>
 void describe(A& a, M& m) { a.fields(m.type, m.zone, m.spot); }
--- a/src/core/calls.h
+++ b/src/core/calls.h
@@ -192,10 +192,19 @@
   bool state_answers = false;
   std::uint32_t your_reports = 0;
 };
-/// The sender has let go of a part that it can't serve: the receiver may take it, over this very record.
+/// What may be on a machine that is silent, as far as the sender knows.
+struct SilentMachine {
+  std::string machine;
+  Micros heard_ago{0};
+  Micros answered_ago{0};
+  std::vector<ReportedTask> tasks;
+};
+/// The sender has let go of a part: the receiver may take it, over this very record.
 struct Resign {
   std::string part;
   std::uint64_t token = 0;
+  bool asked_for = false;  ///< by the receiver; else the sender can't serve it
+  std::vector<SilentMachine> silent;
 };
 /// Asks the holder of `from` to hand unused share of a team's limit to the part `to`.
 struct Lend {
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -216,6 +216,7 @@
   part.unsettled_jobs = true;
   net_.load_awards(part, awards);
   net_.load_progress(part, done, true);
+  fleet_.recall(part);
   part.awards_known_at = part.taken_at;
   make_room_record(part);
 }
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -101,6 +101,42 @@
   resume_deferred();
 }
 
+// ---- from holder to holder -----------------------------------------------------------------------
+
+std::vector<SilentMachine> Fleet::silent(const Part& part) const {
+  std::vector<SilentMachine> out;
+  std::size_t tasks = 0;
+  const Micros now = cluster_.now();
+  for (const auto& [name, m] : part.machines) {
+    if (!m.settled || !m.in_use || now - m.last_heard <= cluster_.context.settings.report_every * 5 / 4)
+      continue;
+    if ((tasks += 1 + m.tasks.size()) > kTold) break;
+    SilentMachine& s = out.emplace_back(SilentMachine{name, now - m.last_heard, now - m.last_answered, {}});
+    for (const auto& [id, p] : m.tasks)
+      if (p.takes_room())
+        s.tasks.push_back({id.task,
+                           id.attempt,
+                           p.seen == Placement::Seen::saving ? TaskPhase::saving : TaskPhase::running,
+                           {}});
+  }
+  return out;
+}
+
+/// They are as if they had just reported: settled, and what may be on them is placed there until it is proved
+/// to be off. The last holder did nothing with the part after it said so, and we took it over its very
+/// record.
+void Fleet::recall(Part& part) {
+  for (const SilentMachine& s : std::exchange(part.told, {})) {
+    auto it = part.machines.find(s.machine);
+    if (it == part.machines.end()) continue;
+    Machine& m = it->second;
+    for (const ReportedTask& t : s.tasks) note(part, m, t, 0);
+    m.last_heard = m.last_reported = part.taken_at - s.heard_ago;
+    m.last_answered = part.taken_at - s.answered_ago;
+    part.settle(m, true);
+  }
+}
+
 // ---- reports -------------------------------------------------------------------------------------
 
 void Fleet::on_own_report(std::uint64_t request, Part& part, const Report& report) {
@@ -481,7 +517,7 @@
   const Micros silence =
       seconds(cluster_.context.policy.silence_reports * in_seconds(s.report_every) * 1.25) + seconds(1);
   for (auto& [name, m] : part.machines) {
-    if (m.heard && !m.lost && now > m.last_answered + lease) {
+    if ((m.heard || !m.tasks.empty()) && !m.lost && now > m.last_answered + lease) {
       // Nobody renewed its lease: the worker has killed and forgotten everything.
       m.lost = true;
       part.settle(m, true);
@@ -500,7 +536,8 @@
   for (auto& [name, m] : part.machines) {
     // Deaf: its reports arrive, but neither answers nor commands reach it.
     const bool deaf = m.unheeded >= kDeafSigns;
-    const bool silent = m.heard && now - m.last_heard > silence && !part.cut_zones.contains(m.zone);
+    const bool silent =
+        (m.heard || !m.tasks.empty()) && now - m.last_heard > silence && !part.cut_zones.contains(m.zone);
     if (m.condemned || !(deaf || silent)) continue;
     m.condemned = true;
     cluster_.context.info("machine " + name + (deaf ? " reports but takes up nothing" : " is silent") +
@@ -578,6 +615,7 @@
     watch(part);
     if (part.unsettled_jobs && part.all_settled()) {
       part.unsettled_jobs = false;
+      cluster_.context.info("part " + name + " knows what is on its machines");
       for (auto& [id, job] : part.jobs) job.unsettled = false;
       part.changed();
     }
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -18,6 +18,10 @@
   void on_report(std::uint64_t request, const Report& report);
   void on_orders_answer(std::uint64_t call, const OrdersAnswer& answer);
   void on_part_ready(Part& part);
+  /// What the holder of a part knows of its machines that are silent, for the next one.
+  std::vector<SilentMachine> silent(const Part& part) const;
+  /// The last holder's word on machines that we may never hear.
+  void recall(Part& part);
   void on_part_dropped(const std::string& part) { claims_.on_part_dropped(part); }
 
   /// Whether a worker can be reached: no order has token and session 0, and it says what it holds.
@@ -67,6 +71,7 @@
   void answer(std::uint64_t request, int status, std::string redirect = {});
 
   static constexpr std::size_t kDeferred = 512;
+  static constexpr std::size_t kTold = 1500;  ///< tasks in a word to the next holder
   static constexpr std::size_t kFailedOn = 8;
   static constexpr std::size_t kDirectCalls = 24;
   static constexpr std::size_t kRememberedDeleted = 4096;
--- a/src/core/holdings.cpp
+++ b/src/core/holdings.cpp
@@ -35,7 +35,10 @@
   }
   for (auto& [name, part] : cluster_.parts)
     if (part.ready() && !part.renewing_token)
-      if (auto host = better_host(part)) return resign(part, *host);
+      if (auto host = better_host(part))
+        return resign(
+            part, *host, false,
+            cluster_.store.failing() ? "the state service does not answer us" : "its workers can't reach us");
 }
 
 // ---- parts that a peer can serve better ------------------------------------------------------------
@@ -86,16 +89,16 @@
   return std::nullopt;
 }
 
-void Holdings::resign(Part& part, const std::string& to) {
+void Holdings::resign(Part& part, const std::string& to, bool asked_for, const char* why) {
   Resigned& resigned = resigned_[part.name];
   resigned = {cluster_.now() + kResignFor, {}, false, {}};
-  if (!cluster_.store.failing())
+  if (!cluster_.store.failing() && !asked_for)
     for (const auto& [name, m] : part.machines)
       if (!m.address.empty() && resigned.workers.size() < kProbed) resigned.workers.push_back(m.address);
   // From here on we do nothing with it: only then may the peer take it.
-  const Resign message{part.name, part.token};
-  drop(part.name,
-       cluster_.store.failing() ? "the state service does not answer us" : "its workers can't reach us");
+  const Resign message{part.name, part.token, asked_for, fleet_.silent(part)};
+  cluster_.routes[part.name].host = to;  // for the workers; the next look corrects it
+  drop(part.name, why);
   cluster_.context.act(PeerSend{to, message});
 }
 
@@ -103,7 +106,8 @@
   if (!cluster_.acting() || lease_ == 0 || cluster_.parts.contains(resign.part) ||
       taking_.contains(resign.part) || !cluster_.routes.contains(resign.part))
     return;
-  handed_[resign.part] = cluster_.now();
+  if (!resign.asked_for) handed_[resign.part] = cluster_.now();
+  words_[resign.part] = resign;
   take(resign.part, resign.token);
 }
 
@@ -204,7 +208,7 @@
 }
 
 void Holdings::consider(const std::string& part) {
-  if (!cluster_.acting() || lease_ == 0 || taking_.contains(part) || releasing_.contains(part)) return;
+  if (!cluster_.acting() || lease_ == 0 || taking_.contains(part)) return;
   if (cluster_.parts.contains(part)) return;
   Route& route = cluster_.routes[part];
   const bool ours = part == cluster_.self();
@@ -243,17 +247,16 @@
 
 void Holdings::take(const std::string& part, std::uint64_t seen_stamp) {
   taking_.insert(part);
-  const Micros asked = cluster_.now();
   StateCommit txn;
   txn.conditions = {{records::hold_key(part), seen_stamp}};
   txn.writes = {{records::hold_key(part),
                  records::to_json(records::Hold{cluster_.self(), cluster_.context.incarnation}), lease_}};
-  cluster_.store.commit(std::move(txn), [this, part, asked](const StateAnswer& a) {
+  cluster_.store.commit(std::move(txn), [this, part, seen_stamp](const StateAnswer& a) {
     if (a.ok()) {
       taking_.erase(part);
-      adopt(part, a.revision);
+      adopt(part, a.revision, seen_stamp);
     } else if (a.outcome == Outcome::lost) {
-      settle_take(part, asked);
+      settle_take(part);
     } else {
       taking_.erase(part);
       if (a.outcome == Outcome::absent) lose_lease();
@@ -262,19 +265,20 @@
   });
 }
 
-void Holdings::settle_take(const std::string& part, Micros asked) {
+void Holdings::settle_take(const std::string& part) {
   // No answer: read what became of it. A write that is applied later still shows up at the next look, as a
   // record of this process that it does not know of, and is then taken over again.
-  cluster_.store.get(records::hold_key(part), [this, part, asked](const StateAnswer& a) {
+  cluster_.store.get(records::hold_key(part), [this, part](const StateAnswer& a) {
     taking_.erase(part);
     if (!a.ok() || a.rows.empty()) return;
     auto hold = records::hold(a.rows.front().value);
     if (hold && hold->host == cluster_.self() && hold->incarnation == cluster_.context.incarnation)
-      adopt(part, a.rows.front().stamp);
+      adopt(part, a.rows.front().stamp, 0);
   });
 }
 
-void Holdings::adopt(const std::string& name, std::uint64_t token) {
+/// `over`: the record that ours replaced, if that is known.
+void Holdings::adopt(const std::string& name, std::uint64_t token, std::uint64_t over) {
   if (!cluster_.acting()) return;
   Route& route = cluster_.routes[name];
   route = {cluster_.self(), cluster_.context.incarnation, token, Micros{0}, true};
@@ -284,6 +288,11 @@
   part.token = part.first_token = token;
   part.generation = ++generations_;
   part.taken_at = cluster_.now();
+  // Whoever held it in between would have left a newer record.
+  if (auto word = words_.find(name); word != words_.end()) {
+    if (word->second.token == over) part.told = std::move(word->second.silent);
+    words_.erase(word);
+  }
   cluster_.context.info("took part " + name + " with token " + std::to_string(token));
   on_taken_(part);
 }
@@ -313,20 +322,11 @@
 }
 
 void Holdings::hand_back(const std::string& name) {
-  auto it = cluster_.parts.find(name);
-  if (it == cluster_.parts.end() || name == cluster_.self() || !cluster_.acting()) return;
-  const Condition condition = cluster_.holds(it->second);
-  drop(name, "handed back");
-  releasing_.insert(name);
-  StateCommit txn;
-  txn.conditions = {condition};
-  txn.writes = {{records::hold_key(name), std::nullopt, 0}};
-  cluster_.store.commit(std::move(txn), [this, name](const StateAnswer& a) {
-    releasing_.erase(name);
-    // Not released: the next look finds a record of this process and takes the part once more, until its
-    // own host asks again.
-    if (!a.ok()) next_look_ = cluster_.now() + millis(200);
-  });
+  Part* part = cluster_.held(name);
+  if (part == nullptr || name == cluster_.self() || part->renewing_token) return;
+  // If the word is lost, the next look finds a record of this process and takes the part once more, until its
+  // own host asks again.
+  resign(*part, name, true, "handed back");
 }
 
 void Holdings::drop(std::string part, const char* why) {
--- a/src/core/holdings.h
+++ b/src/core/holdings.h
@@ -29,15 +29,15 @@
   void on_routes(const StateAnswer& answer);
   void consider(const std::string& part);
   void take(const std::string& part, std::uint64_t seen_stamp);
-  void settle_take(const std::string& part, Micros asked);
-  void adopt(const std::string& part, std::uint64_t token);
+  void settle_take(const std::string& part);
+  void adopt(const std::string& part, std::uint64_t token, std::uint64_t over);
   void drop(std::string part, const char* why);
   void lose_lease();
   void tell_peers();
   /// Whether a peer could serve a part of ours that we can't; then which.
   std::optional<std::string> better_host(const Part& part) const;
   bool hears_nobody(const Part& part) const;
-  void resign(Part& part, const std::string& to);
+  void resign(Part& part, const std::string& to, bool asked_for, const char* why);
   void probe_workers();
 
   /// After we let go of our own part, we do not ask for it back for a while, nor before a worker of it has
@@ -59,11 +59,12 @@
   bool looking_ = false;
   Micros next_look_{0};
   std::set<std::string> taking_;
-  std::set<std::string> releasing_;
   std::uint64_t generations_ = 0;
   Micros next_word_{0};
   std::map<std::string, Resigned> resigned_;
-  std::map<std::string, Micros> handed_;  ///< parts that a peer resigned in our favour, and when
+  std::map<std::string, Micros> handed_;  ///< parts that a peer could not serve and left to us, and when
+  std::map<std::string, Resign>
+      words_;  ///< the last one for each part: counts if it is of the record taken over
 };
 
 }  // namespace bendtide
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -252,6 +252,7 @@
   std::vector<std::string> over;            ///< jobs that are ended, until nothing of them is left
   std::map<std::uint32_t, DoneSlot> done_slots;
   std::map<std::uint32_t, ClaimBlock> claim_blocks;
+  std::vector<SilentMachine> told;  ///< by the last holder, for the loading
 
   bool ready() const { return stage == Stage::ready; }
   void changed() { next_pass = Micros{0}; }
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -52,8 +52,15 @@
   }
   /// The term of a part's lease. A holder may go on acting for a term after it lost the state service, and
   /// its workers for their lease after that; both together have to stay below the time in which a
-  /// cancelled job must be gone, with a third of the slack left as margin.
-  Micros term() const { return Micros{(cancel_within - worker_lease).count() * 2 / 3}; }
+  /// cancelled job must be gone, with a third of the slack left as margin. Where the workers' lease allows,
+  /// it is short enough for them to report to the next holder before their lease is over: they wait 4 s for
+  /// the one that stands still and 1 s before the next try, and the next holder takes 2 s to take over. It is
+  /// not shorter than half of that, as outages of the state service have to be borne.
+  Micros term() const {
+    const Micros longest{(cancel_within - worker_lease).count() * 2 / 3};
+    const Micros before_workers_lease = worker_lease - report_every * 5 / 4 - seconds(4 + 1 + 2);
+    return std::clamp(before_workers_lease, longest / 2, longest);
+  }
 };
 
 }  // namespace bendtide
