--- a/src/core/part.h
+++ b/src/core/part.h
@@ -188,7 +188,8 @@
 /// A job that has tasks to start, in the order in which its part serves them.
 struct Ranked {
   Job* job = nullptr;
-  int lost = 0;  ///< deadline objectives that it misses anyway
+  int lost = 0;        ///< objectives that it misses anyway
+  Micros start_by{0};  ///< for the next that it can keep
   bool guaranteed = false;
 };
 
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -24,16 +24,25 @@
           portion(team->guarantee.gpu, share.gpu, team->limit.gpu)};
 }
 
-/// Deadline objectives that the job misses even if all of it started now: those that can still be kept go
-/// first.
-int Scheduler::objectives_lost(const Job& job) const {
-  if (!job.spec.deadline) return 0;
-  const Micros ends = cluster_.context.wall + job.spec.estimate - job.accepted;
-  const auto& all = cluster_.context.settings.objectives;
-  return static_cast<int>(std::count_if(all.begin(), all.end(), [&](const Objective& o) {
-    return o.kind == "deadline" && o.job_class == job.spec.job_class &&
-           in_seconds(ends) > o.times * in_seconds(*job.spec.deadline);
-  }));
+/// An array's objectives that can't be kept even if all of it started now, and the last moment to start for
+/// the first that can: jobs that can still keep theirs go first, the most pressing ones before the others.
+Scheduler::Urgency Scheduler::urgency(const Job& job) const {
+  Urgency out{0, job.due()};
+  if (job.spec.shape != Shape::array) return out;
+  for (const Objective& o : cluster_.context.settings.objectives) {
+    if (o.job_class != job.spec.job_class) continue;
+    Micros within = o.within;  // of its acceptance; of its start for `wait`, else of its end
+    if (o.kind == "deadline" && job.spec.deadline)
+      within = seconds(o.times * in_seconds(*job.spec.deadline));
+    else if (o.kind != "wait" && o.kind != "finished")
+      continue;
+    const Micros start_by = job.accepted + within - (o.kind == "wait" ? Micros{0} : job.spec.estimate);
+    if (cluster_.context.wall > start_by)
+      ++out.lost;
+    else
+      out.start_by = std::min(out.start_by, start_by);
+  }
+  return out;
 }
 
 void Scheduler::rank(Part& part) {
@@ -43,12 +52,13 @@
     job.short_of_share = false;
     if (!job.can_start(cluster_.now()) || job.unsettled) continue;
     const std::string& team = job.spec.team;
-    part.queue.push_back({&job, objectives_lost(job),
-                          (part.used(team) + quota_of(job.spec.each)).fits_in(guarantee(part, team))});
+    const auto [lost, start_by] = urgency(job);
+    part.queue.push_back(
+        {&job, lost, start_by, (part.used(team) + quota_of(job.spec.each)).fits_in(guarantee(part, team))});
   }
   std::sort(part.queue.begin(), part.queue.end(), [](const Ranked& a, const Ranked& b) {
     auto key = [](const Ranked& r) {
-      return std::tuple(-static_cast<int>(r.job->spec.priority), r.lost, !r.guaranteed, r.job->due(),
+      return std::tuple(-static_cast<int>(r.job->spec.priority), r.lost, !r.guaranteed, r.start_by,
                         r.job->accepted, std::string_view(r.job->spec.id));
     };
     return key(a) < key(b);
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -31,7 +31,11 @@
   };
   using PerZone = std::map<std::string, std::int64_t>;
 
-  int objectives_lost(const Job& job) const;
+  struct Urgency {
+    int lost;
+    Micros start_by;
+  };
+  Urgency urgency(const Job& job) const;
   void rank(Part& part);
   std::vector<Room> rooms(Part& part) const;
   static bool allowed(const Job& job, const Machine& m, const PerZone& per_zone);
