Machines not heard yet are not given up at the moment their zone is reached again

Cause (mesa fleet, zone, debug log): when half of a cut zone's machines had been heard again, the others, 166 and 27 of them, were deleted at once as never having come up. Ruled out: their tokens, their sessions, the hand-over.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -574,6 +574,7 @@
     } else if (cut != part.cut_zones.end()) {
       cluster_.context.info("part " + part.name + " reaches its machines in zone " + zone + " again");
       part.cut_zones.erase(cut);
+      part.cut_over = now;
       part.changed();
     }
   }
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -248,6 +248,7 @@
   Micros next_pass{0};        ///< a pass over everything; at once if something has changed
   Micros next_watch{0};
   std::map<std::string, Micros> cut_zones;  ///< whose machines can't be reached, and since when
+  Micros cut_over{0};                       ///< when one of them was last reached again
   bool unsettled_jobs = false;              ///< some were loaded, and not all machines are settled yet
   std::vector<std::string> push;            ///< machines to be told something at once
   std::vector<std::string> over;            ///< jobs that are ended, until nothing of them is left
--- a/src/core/renter.cpp
+++ b/src/core/renter.cpp
@@ -268,7 +268,8 @@
     // cut, and would keep their zone closed to renting for as long as they are kept.
     const Micros lease = cluster_.context.settings.worker_lease;
     const Micros patience = part.cut_zones.contains(m.zone) ? lease * 3 / 2 : lease;
-    if (cluster_.now() - part.taken_at > patience) {
+    // When the zone can be reached again, all its workers have a lease's time to say so.
+    if (cluster_.now() - std::max(part.taken_at, part.cut_over) > patience) {
       m.condemned = true;
       cluster_.context.info("machine " + name + " does not come up: it is deleted");
     }
