--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -36,6 +36,7 @@
     if (!std::isfinite(*v) || *v < low || *v > high) fail(field, "out of range");
     return *v;
   }
+  bool has(const char* field) const { return table_.contains(field); }
   double positive(const char* field) const { return number(field, 1e-6, 1e9); }
   double amount_or_zero(const char* field) const {
     return table_.contains(field) ? number(field, 0, 1e9) : 0.0;
@@ -111,10 +112,19 @@
   if (s.teams.empty()) settings.fail("teams", "missing");
   settings.each("objectives", [&](const Section& objective) {
     Objective o;
+    double within = 0;
     o.kind = objective.text("kind");
-    if (o.kind == "wait" || o.kind == "deadline") o.job_class = objective.text("class");
-    if (o.kind == "deadline") o.times = objective.positive("times");
-    o.within = seconds(objective.amount_or_zero("within_s"));
+    const bool of_class = o.kind == "wait" || o.kind == "deadline" || o.kind == "finished";
+    const char* measure = o.kind == "deadline" ? "times" : "within_s";
+    if (!(of_class || o.kind == "guarantee") || !objective.has(measure) ||
+        (of_class && !objective.has("class"))) {
+      // A new kind, one that nothing here is ordered by, or one that is meant otherwise.
+      s.ignored_objectives.insert(o.kind);
+      return;
+    }
+    if (of_class) o.job_class = objective.text("class");
+    (o.kind == "deadline" ? o.times : within) = objective.positive(measure);
+    o.within = seconds(within);
     s.objectives.push_back(std::move(o));
   });
   const Section workers = settings.section("workers");
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -53,6 +53,9 @@
 
 void Daemon::run() {
   log_->info("{} starts in zone {} with {} peers", settings_.host, settings_.zone, settings_.peers.size());
+  std::string ignored;
+  for (const std::string& kind : settings_.ignored_objectives) ignored += " " + kind;
+  if (!ignored.empty()) log_->info("objectives without effect, by kind:{}", ignored);
   loop_.spawn(accept_users());
   loop_.spawn(accept_internal());
   for (auto& [host, link] : peers_) loop_.spawn(link->run());
@@ -80,8 +83,16 @@
 void Daemon::perform(Action action) {
   struct Visitor {
     Daemon& d;
-    void operator()(StateCall& a) { d.loop_.spawn(d.call_state(a.call, std::move(a.request))); }
-    void operator()(CloudCall& a) { d.loop_.spawn(d.call_cloud(a.call, std::move(a.request))); }
+    void operator()(StateCall& a) {
+      d.loop_.spawn(d.call_service<StateAnswer>(
+          d.state_, std::move(a.request), kStateWithin, Metrics::Kind::state, wire::state_answer,
+          [&core = d.core_, call = a.call](const StateAnswer& answer) { core.on_state(call, answer); }));
+    }
+    void operator()(CloudCall& a) {
+      d.loop_.spawn(d.call_service<CloudAnswer>(
+          d.cloud_, std::move(a.request), kCloudWithin, Metrics::Kind::cloud, wire::cloud_answer,
+          [&core = d.core_, call = a.call](const CloudAnswer& answer) { core.on_cloud(call, answer); }));
+    }
     void operator()(WorkerCall& a) { d.loop_.spawn(d.call_worker(a.call, std::move(a.request))); }
     void operator()(PeerSend& a) {
       if (auto it = d.peers_.find(a.host); it != d.peers_.end()) it->second->send(std::move(a.message));
@@ -114,29 +125,18 @@
   return answer;
 }
 
-io::Task<> Daemon::call_state(std::uint64_t call, StateRequest request) {
+template <class Answer, class Request, class Read, class Done>
+io::Task<> Daemon::call_service(io::HttpClient& client, Request request, Micros within, Metrics::Kind kind,
+                                Read read, Done done) {
   const Micros began = loop_.now();
   wire::HttpRequest http = wire::request_of(request);
-  auto result = co_await state_.call(std::move(http.method), std::move(http.target), std::move(http.body),
-                                     kStateWithin);
-  const auto answer = answer_of<StateAnswer>(
-      result, [&](int status, const std::string& body) { return wire::state_answer(request, status, body); });
-  metrics_.observe(Metrics::Kind::state, loop_.now() - began, result.status != 0 && result.status < 500);
+  auto result =
+      co_await client.call(std::move(http.method), std::move(http.target), std::move(http.body), within);
+  const auto answer = answer_of<Answer>(
+      result, [&](int status, const std::string& body) { return read(request, status, body); });
+  metrics_.observe(kind, loop_.now() - began, result.status != 0 && result.status < 500);
   enter();
-  core_.on_state(call, answer);
-  leave();
-}
-
-io::Task<> Daemon::call_cloud(std::uint64_t call, CloudRequest request) {
-  const Micros began = loop_.now();
-  wire::HttpRequest http = wire::request_of(request);
-  auto result = co_await cloud_.call(std::move(http.method), std::move(http.target), std::move(http.body),
-                                     kCloudWithin);
-  const auto answer = answer_of<CloudAnswer>(
-      result, [&](int status, const std::string& body) { return wire::cloud_answer(request, status, body); });
-  metrics_.observe(Metrics::Kind::cloud, loop_.now() - began, answer.ok());
-  enter();
-  core_.on_cloud(call, answer);
+  done(answer);
   leave();
 }
 
@@ -179,12 +179,18 @@
 // ---- users and workers ---------------------------------------------------------------------------
 
 io::Task<> Daemon::accept_users() {
-  io::Socket listener = io::Socket::listen(loop_, settings_.api_address);
-  // The rest of the sockets is for the services we call.
+  io::Socket listener = io::Socket::listen(loop_, settings_.api_address, settings_.sockets);
+  // The rest of the sockets is for the services we call, the peers and direct orders.
   const std::size_t most = settings_.sockets * 3 / 4;
   for (;;) {
     io::Socket socket = co_await listener.accept();
-    if (connections_ < most) loop_.spawn(serve_users(std::move(socket)));
+    if (connections_ >= most) {
+      // Health checks, workers and users that have something to say come before connections that say nothing.
+      if (idle_.empty()) continue;
+      idle_.front()->stop_reading();
+      idle_.splice(idle_.end(), idle_, idle_.begin());  // it takes itself out once it is resumed
+    }
+    loop_.spawn(serve_users(std::move(socket)));
   }
 }
 
@@ -199,8 +205,12 @@
   for (;;) {
     http::Parse parsed = http::parse(buffer, http::Kind::request, limits);
     if (parsed.state == http::Parse::State::incomplete) {
+      const bool idle = buffer.empty() && !admin;
       if (buffer.empty()) buffer.shrink_to_fit();
-      if (!co_await socket.read(buffer, loop_.now() + kIdle)) co_return;
+      const auto place = idle ? idle_.insert(idle_.end(), &socket) : idle_.end();
+      const bool more = co_await socket.read(buffer, loop_.now() + kIdle);
+      if (idle) idle_.erase(place);
+      if (!more) co_return;
       continue;
     }
     if (parsed.state == http::Parse::State::malformed) {
@@ -279,7 +289,7 @@
 // ---- other controllers and operators -------------------------------------------------------------
 
 io::Task<> Daemon::accept_internal() {
-  io::Socket listener = io::Socket::listen(loop_, settings_.internal_address);
+  io::Socket listener = io::Socket::listen(loop_, settings_.internal_address, 64);
   for (;;) {
     io::Socket socket = co_await listener.accept();
     if (connections_ < settings_.sockets * 7 / 8) loop_.spawn(serve_internal(std::move(socket)));
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -1,6 +1,7 @@
 // The shell round the core: sockets, clocks and logging.
 #pragma once
 
+#include <list>
 #include <memory>
 #include <unordered_map>
 
@@ -51,8 +52,9 @@
   void enter();  ///< tells the core the time
   void leave();  ///< carries out what the core wants done
   void perform(Action action);
-  io::Task<> call_state(std::uint64_t call, StateRequest request);
-  io::Task<> call_cloud(std::uint64_t call, CloudRequest request);
+  template <class Answer, class Request, class Read, class Done>
+  io::Task<> call_service(io::HttpClient& client, Request request, Micros within, Metrics::Kind kind,
+                          Read read, Done done);
   io::Task<> call_worker(std::uint64_t call, OrdersRequest request);
   void reply(std::uint64_t request, Reply reply);
 
@@ -67,6 +69,7 @@
   std::map<std::uint64_t, std::unique_ptr<Pending>> pending_;
   std::uint64_t next_request_ = 1;
   std::size_t connections_ = 0;
+  std::list<io::Socket*> idle_;  ///< connections without a request under way, the longest idle first
 };
 
 }  // namespace bendtide
--- a/src/core/contract.cpp
+++ b/src/core/contract.cpp
@@ -82,7 +82,7 @@
 
 void ContractNet::start_calls(Part& part) {
   const Micros now = cluster_.now();
-  if (cluster_.routes.size() < 2 || cluster_.store.busy()) return;
+  if (cluster_.store.busy()) return;
   // Those that have waited longest for their turn call first, and of these those that are served first; a few
   // at a time, as every call costs each peer a look. In the queue's order alone, the first few jobs would
   // call again and again, and no machine would ever be rented for the others.
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -20,7 +20,7 @@
              {[this](Part& p, Machine& m) { scheduler_.fill(p, m); }, [this] { holdings_.doubt(); }}),
       scheduler_(cluster_, fleet_),
       net_(cluster_, scheduler_, {[this] { holdings_.doubt(); }}),
-      jobs_(cluster_, fleet_, {[this](Part& p) { schedule(p); }, [this] { holdings_.doubt(); }}),
+      jobs_(cluster_, {[this](Part& p) { schedule(p); }, [this] { holdings_.doubt(); }}),
       renter_(cluster_, fleet_),
       holdings_(
           cluster_, fleet_, [this](Part& p) { load(p); },
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -52,7 +52,8 @@
 }
 
 void Fleet::defer(std::uint64_t request, const Report& report) {
-  if (deferred_.size() >= kDeferred) return answer(request, 503);
+  // Each holds a socket, so that there can't be more of them.
+  if (deferred_.size() >= cluster_.context.settings.sockets) return answer(request, 503);
   deferred_.push_back({request, report, cluster_.now()});
 }
 
@@ -157,7 +158,8 @@
   if (report.session < m.session || (report.session == m.session && report.sequence <= m.reported_sequence))
     return answer(request, 503);
   m.last_reported = cluster_.now();
-  if (!believable(part, report) && m.told_at && m.last_reported - *m.told_at > token_within())
+  if (!believable(part, report) && m.told_at &&
+      m.last_reported - *m.told_at > cluster_.context.settings.report_pause())
     m.unheeded += 2;
   // Nothing reaches it, so an answer would renew nothing; but the proof by its lease would wait for one that
   // did.
@@ -189,9 +191,6 @@
   return report.token >= part.first_token;
 }
 
-/// A machine that reports this long after it was told a token shows it, or the word did not reach it.
-Micros Fleet::token_within() const { return cluster_.context.settings.report_every * 5 / 4 + seconds(1); }
-
 void Fleet::apply(Part& part, Machine& m, const Report& report, bool is_report) {
   const Micros now = cluster_.now();
   if (report.session > m.session) {
@@ -420,6 +419,12 @@
   });
 }
 
+/// Calls to machines that can't be reached last until they time out, and with hundreds of these the others'
+/// would wait for them; each takes a socket.
+std::size_t Fleet::most_direct_calls() const {
+  return std::max<std::size_t>(16, cluster_.context.settings.sockets / 12);
+}
+
 void Fleet::push_orders(Part& part) {
   const Micros now = cluster_.now();
   std::vector<std::string> names;
@@ -428,7 +433,7 @@
     auto it = part.machines.find(name);
     if (it == part.machines.end()) continue;
     Machine& m = it->second;
-    if (direct_.size() >= kDirectCalls) {
+    if (direct_.size() >= most_direct_calls()) {
       part.push.push_back(std::move(name));
       continue;
     }
@@ -533,7 +538,7 @@
     trim_images(m);
   }
   // A cut is to be noticed before the first machine has been silent for long enough to be deleted.
-  watch_zones(part, s.report_every * 8 / 5 + seconds(1));
+  watch_zones(part, s.report_pause());
   for (auto& [name, m] : part.machines) {
     // Deaf: its reports arrive, but neither answers nor commands reach it.
     const bool deaf = m.unheeded >= kDeafSigns;
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -63,17 +63,15 @@
   void release_all(Part& part, Machine& m);
   std::vector<Order> orders(Part& part, Machine& m, std::uint64_t in_report);
   bool urgent(const Machine& m) const;
+  std::size_t most_direct_calls() const;
   void watch(Part& part);
   void watch_zones(Part& part, Micros late);
-  Micros token_within() const;
   void trim_images(Machine& m) const;
   void resume_deferred();
   void answer(std::uint64_t request, int status, std::string redirect = {});
 
-  static constexpr std::size_t kDeferred = 512;
   static constexpr std::size_t kTold = 1500;  ///< tasks in a word to the next holder
   static constexpr std::size_t kFailedOn = 8;
-  static constexpr std::size_t kDirectCalls = 24;
   static constexpr std::size_t kRememberedDeleted = 4096;
   static constexpr std::size_t kOrders = 200;  ///< in one message: far below a line of 64 KiB
 
--- a/src/core/holdings.cpp
+++ b/src/core/holdings.cpp
@@ -59,7 +59,7 @@
 
 /// All its machines have been silent for longer than any pause between reports.
 bool Holdings::hears_nobody(const Part& part) const {
-  const Micros silence = cluster_.context.settings.report_every * 8 / 5 + seconds(1);
+  const Micros silence = cluster_.context.settings.report_pause();
   const Micros since = cluster_.now() - silence;
   if (part.taken_at + silence > since) return false;
   // A part whose machines are all deaf, or never came up, would go round for ever: its holder needs time to
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -18,9 +18,8 @@
 
 }  // namespace
 
-Jobs::Jobs(Cluster& cluster, Fleet& fleet, Hooks hooks)
+Jobs::Jobs(Cluster& cluster, Hooks hooks)
     : cluster_(cluster),
-      fleet_(fleet),
       hooks_(std::move(hooks)),
       // A reply to a question of an earlier process of this host must not pass for one to ours.
       next_question_(cluster.context.random() >> 8) {}
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -3,7 +3,7 @@
 
 #include <deque>
 
-#include "core/fleet.h"
+#include "core/cluster.h"
 
 namespace bendtide {
 
@@ -13,7 +13,7 @@
     std::function<void(Part&)> schedule;
     std::function<void()> doubt_holdings;
   };
-  Jobs(Cluster& cluster, Fleet& fleet, Hooks hooks);
+  Jobs(Cluster& cluster, Hooks hooks);
 
   void tick();
   void on_submit(std::uint64_t request, const JobSpec& spec);
@@ -95,7 +95,6 @@
   static constexpr std::size_t kAcceptWrites = 2;
 
   Cluster& cluster_;
-  Fleet& fleet_;
   Hooks hooks_;
   std::map<std::string, Known> finals_;
   std::deque<std::string> finals_order_;
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -33,6 +33,7 @@
   std::vector<std::string> zones;
   std::vector<Team> teams;
   std::vector<Objective> objectives;
+  std::set<std::string> ignored_objectives;  ///< kinds that have no effect
   Micros report_every{0};
   Micros worker_lease{0};
   Micros cancel_within{0};
@@ -50,6 +51,8 @@
       if (t.name == name) return &t;
     return nullptr;
   }
+  /// Longer than any pause between two reports of a worker that is well.
+  Micros report_pause() const { return report_every * 8 / 5 + seconds(1); }
   /// The term of a part's lease. A holder may go on acting for a term after it lost the state service, and
   /// its workers for their lease after that; both together have to stay below the time in which a
   /// cancelled job must be gone, with a third of the slack left as margin. Where the workers' lease allows,
--- a/src/core/store.cpp
+++ b/src/core/store.cpp
@@ -54,7 +54,6 @@
 void Store::enqueue(Queue& queue, StateRequest request, Done done) {
   // While nothing is answered, more than a few calls would only wait for their time-outs.
   if (queue.size() >= (failing() ? kInFlight : kQueue)) {
-    ++refusals_;
     StateAnswer refused;
     refused.outcome = StateAnswer::Outcome::refused;
     return done(refused);
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -32,7 +32,6 @@
   /// Sends what the budget allows by now.
   void pump();
   bool busy() const { return reads_.size() + commits_[0].size() + commits_[1].size() > kQueue / 4; }
-  std::uint64_t refusals() const { return refusals_; }
   /// Whether calls have been failing for a while, with none answered since.
   bool failing() const { return failing_since_ && context_.now - *failing_since_ > kFailing; }
   bool answers() const { return !failing_since_ && last_answer_ != Micros{0}; }
@@ -60,7 +59,6 @@
   std::array<Queue, 3> commits_;  ///< by rank
   std::unordered_map<std::uint64_t, Done> in_flight_;
   std::uint64_t next_call_ = 1;
-  std::uint64_t refusals_ = 0;
   Micros last_answer_{0};
   std::optional<Micros> failing_since_;
 };
--- a/src/core/time.h
+++ b/src/core/time.h
@@ -11,9 +11,6 @@
 
 constexpr Micros millis(std::int64_t n) { return Micros{n * 1000}; }
 constexpr Micros seconds(double n) { return Micros{static_cast<std::int64_t>(n * 1e6)}; }
-constexpr Micros scaled(Micros m, double factor) {
-  return Micros{static_cast<std::int64_t>(static_cast<double>(m.count()) * factor)};
-}
 constexpr double in_seconds(Micros m) { return static_cast<double>(m.count()) / 1e6; }
 
 /// How fast the steady clocks of two hosts may drift apart (PROTOCOL: 0.05 %), doubled for safety.
--- a/src/io/loop.h
+++ b/src/io/loop.h
@@ -62,7 +62,7 @@
   friend class Socket;
   struct Watch {
     Waiter reader, writer;
-    bool readable = true, writable = true;
+    bool readable = true, writable = true, stopped = false;
   };
   void arm(Waiter& waiter, std::coroutine_handle<> h, Micros until);
   void add(int fd, Watch* watch);
@@ -89,13 +89,15 @@
   /// Appends what arrived to `into`. False at the end, on an error, or when the time ran out.
   Task<bool> read(std::string& into, Micros until);
   Task<bool> write(std::string_view bytes, Micros until);
+  /// Ends the read that is under way, and all later ones, as if the other side had closed.
+  void stop_reading();
   /// Whether an idle connection is still good for a request: open, and nothing unasked has arrived.
   bool fresh() const;
 
   Task<Socket> accept();
   static Task<Socket> connect(Loop& loop, const std::string& address, Micros until);
   /// Throws std::runtime_error, naming the address.
-  static Socket listen(Loop& loop, const std::string& address);
+  static Socket listen(Loop& loop, const std::string& address, std::size_t backlog);
 
  private:
   struct Fd {
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -50,6 +50,39 @@
   EXPECT_LT(s.term() + s.worker_lease + seconds(5), s.cancel_within);
 }
 
+TEST(Config, ObjectivesThatAreNotKnownAreIgnored) {
+  std::string text = kGood;
+  for (const char* fields :
+       {"kind = 'wait'\nclass = 'c'\nwithin_s = 60", "kind = 'finished'\nclass = 'c'\nwithin_s = 180",
+        "kind = 'deadline'\nclass = 'c'\ntimes = 1.5", "kind = 'guarantee'\nwithin_s = 5",
+        "kind = 'wait'\nwithin_s = 60", "kind = 'splendour'\nshare = 2", "kind = 'up'\nclass = 'c'"})
+    text += std::string("[[settings.objectives]]\n") + fields + "\n";
+  const Settings s = parse_settings(text);
+  EXPECT_EQ(s.objectives.size(), 4u);
+  EXPECT_EQ(s.objectives.at(1).within, seconds(180));
+  EXPECT_EQ(s.ignored_objectives, (std::set<std::string>{"wait", "splendour", "up"}));
+  try {
+    parse_settings(text + "[[settings.objectives]]\nkind = 'wait'\nclass = 'c'\nwithin_s = -1\n");
+    ADD_FAILURE() << "not noticed";
+  } catch (const ConfigError& e) {
+    EXPECT_TRUE(std::string(e.what()).starts_with("settings.objectives[7].within_s")) << e.what();
+  }
+}
+
+// Where the worker's lease leaves time for it, the next holder of a part takes over before its workers give
+// up.
+TEST(Config, TheTermLeavesWorkersTimeForTheNextHolder) {
+  Settings s;
+  for (const auto& [lease, report, cancel, least, most] :
+       {std::tuple(22.0, 4.0, 52.0, 9.0, 11.0), std::tuple(26.5, 5.0, 46.5, 12.0, 13.4),
+        std::tuple(12.0, 1.5, 42.0, 9.0, 11.0)}) {
+    s.worker_lease = seconds(lease), s.report_every = seconds(report), s.cancel_within = seconds(cancel);
+    EXPECT_GE(s.term(), seconds(least)) << lease;
+    EXPECT_LE(s.term(), seconds(most)) << lease;
+    EXPECT_LT(s.term() + s.worker_lease + seconds(5), s.cancel_within) << lease;
+  }
+}
+
 TEST(Config, BadFilesAreRefusedWithTheField) {
   struct Case {
     const char* from;
