Machines behind a cut are not returned as idle

Cause (siam fleet, zone, debug log): 340 machines behind the cut lost their leases, were idle for 20 s, returned, and rented again when the cut was over.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -202,7 +202,10 @@
   }
   m.sequence = report.sequence;
   m.address = report.address;
-  if (!m.heard || m.lost) part.changed();
+  if (!m.heard || m.lost) {
+    part.changed();
+    m.idle_since = now;  // it could do nothing before
+  }
   if (!m.heard && !m.in_use) claims_.came_up(part, m);
   m.heard = true;
   m.lost = false;
--- a/src/core/renter.cpp
+++ b/src/core/renter.cpp
@@ -255,6 +255,8 @@
   // Kept idle for tasks that it does not suit, it could block the room in the cloud that these wait for.
   for (auto& [name, m] : part.machines) {
     if (m.condemned || !m.heard || !m.settled || !m.idle()) continue;
+    // Behind a cut they are idle because nothing reaches them, and will be wanted when the cut is over.
+    if (m.lost || part.cut_zones.contains(m.zone)) continue;
     if (now - m.idle_since < idle || cluster_.context.wall - m.rented < kLeastPaid) continue;
     m.condemned = true;
     cluster_.context.debug("machine " + name + " is idle: it is returned");
