--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -88,6 +88,19 @@
   EXPECT_LE(day.most_failures(), 24u);
 }
 
+// The first forty of a queue once called for proposals again and again, and no machine was rented for the
+// others.
+TEST(Rush, EveryJobGetsItsTurnToCall) {
+  DayPlan plan;
+  plan.troubles = false;
+  plan.rush = true;
+  plan.jobs = 400;
+  plan.end = seconds(15);
+  Day day(plan);
+  day.play();
+  EXPECT_EQ(day.passed_over(), 0u);
+}
+
 TEST(SmallLimits, WhatWouldExceedThemIsSplit) {
   DayPlan plan;
   plan.seed = 7;
--- a/tests/sim/day.cpp
+++ b/tests/sim/day.cpp
@@ -398,7 +398,7 @@
         s.zone = chance() < 0.5 ? "east" : "west";
       if (chance() < 0.2) s.types = {"large"};
     }
-    user->submit_at = seconds(3 + chance() * 140);
+    user->submit_at = seconds(3 + chance() * (plan_.rush ? 1 : 140));
     if (chance() < 0.25) user->cancel_at = user->submit_at + seconds(2 + chance() * 40);
     specs_[s.id] = s;
     users_.push_back(std::move(user));
@@ -652,6 +652,15 @@
                   overview::machines(node->core->cluster()).dump(1).c_str());
 }
 
+std::size_t Day::passed_over() const {
+  std::size_t n = 0;
+  for (const auto& node : nodes_)
+    for (const auto& [name, part] : node->core->cluster().parts)
+      for (const auto& [id, job] : part.jobs)
+        n += job.overflow > 0 && !job.refused && !job.short_of_share ? 1 : 0;
+  return n;
+}
+
 std::size_t Day::deaf_machines() {
   std::size_t n = 0;
   for (auto& [name, m] : cloud_.machines()) n += m.worker && !m.dead && m.worker->deaf ? 1 : 0;
--- a/tests/sim/day.h
+++ b/tests/sim/day.h
@@ -60,6 +60,7 @@
   Micros trouble_until = seconds(150);
   Micros end = seconds(330);
   int jobs = 24;
+  bool rush = false;          ///< all jobs come at once
   std::vector<Trouble> only;  ///< the kinds that it has; none: all
   /// All kinds, a controller in each zone, and late copies of calls to the state service; without, as days
   /// were before there was any of this.
@@ -82,6 +83,8 @@
   std::vector<std::string> unfinished() const;
   const StateService& state() const { return state_; }
   std::uint64_t awards() const;
+  /// Jobs that have waited for room for a while, and for which no machine is to be rented yet.
+  std::size_t passed_over() const;
   /// Machines that nothing reaches, still there at the end.
   std::size_t deaf_machines();
   /// The most tasks that failed on one machine.
--- a/tests/size_test.cpp
+++ b/tests/size_test.cpp
@@ -36,7 +36,7 @@
   explicit Cluster(int machines)
       : settings_(settings()),
         state_(settings_),
-        cloud_({{"type", {8000, 0, 64000}, 50, 0.8, 0.5, 0.1, seconds(30), {"east"}}},
+        cloud_({{"type", {8000, 0, 64000}, 50, 0.8, 0.5, 0.1, seconds(30), {"east", "west"}}},
                machines == 0 ? 2000 : 0, [](Cloud::Machine&) {}),
         core_(std::make_unique<Controller>(settings_, "life", 1)) {
     pass(3);
@@ -60,6 +60,7 @@
   std::size_t state_calls() const { return state_calls_; }
   std::size_t too_large() const { return state_.too_large(); }
   std::size_t cloud_calls() const { return cloud_calls_; }
+  std::size_t deleted() const { return deleted_; }
   std::size_t rented() { return cloud_.machines().size(); }
   /// Parts that know what is on all their machines.
   std::size_t parts_settled() const {
@@ -89,7 +90,7 @@
     r.machine = name;
     r.address = name + ":1";
     r.type = "type";
-    r.zone = "east";
+    r.zone = zone_of(name);
     r.session = 1;
     r.sequence = ++sequence_;
     r.token = token_[name];
@@ -123,6 +124,11 @@
     for (int i = 0; i < times; ++i) what(i);
     return (allocations - before) / static_cast<std::size_t>(times);
   }
+  std::string cut_zone;  ///< whose machines take no orders
+  /// Every third machine is in the other zone.
+  static std::string zone_of(const std::string& name) {
+    return std::stoi(name.substr(2)) % 3 == 0 ? "west" : "east";
+  }
   const std::string& machine(int i) const {
     return machines_[static_cast<std::size_t>(i) % machines_.size()];
   }
@@ -160,12 +166,14 @@
       core_->on_state(call->call, wire::state_answer(call->request, r.status, r.body));
     } else if (auto* asked = std::get_if<CloudCall>(&action)) {
       ++cloud_calls_;
+      if (auto* gone = std::get_if<CloudDelete>(&asked->request)) deleted_ += gone->machines.size();
       const Response r = cloud_.handle(wire::request_of(asked->request), now_);
       core_->on_cloud(asked->call, wire::cloud_answer(asked->request, r.status, r.body));
     } else if (auto* reply = std::get_if<AnswerWorker>(&action)) {
       if (reply->reply.status == 200) take(reporting_, reply->reply.token, reply->reply.orders);
     } else if (auto* orders = std::get_if<WorkerCall>(&action)) {
       const std::string name = orders->request.address.substr(0, orders->request.address.find(':'));
+      if (zone_of(name) == cut_zone) return core_->on_orders(orders->call, {});
       take(name, orders->request.token, orders->request.orders);
       core_->on_orders(orders->call, {OrdersAnswer::Outcome::executed, report_of(name)});
     }
@@ -181,9 +189,38 @@
   std::map<std::string, std::uint64_t> token_;
   std::string reporting_;
   std::uint64_t request_ = 0, sequence_ = 0;
-  std::size_t state_calls_ = 0, cloud_calls_ = 0;
+  std::size_t state_calls_ = 0, cloud_calls_ = 0, deleted_ = 0;
 };
 
+// Machines behind a cut were once returned as idle, and those not heard yet when the first were heard again
+// given up.
+TEST(CutZone, KeepsItsMachines) {
+  for (const bool restarted : {false, true}) {
+    Cluster cluster(60);
+    for (int i = 0; i < 70; ++i) {
+      cluster.pass(1);
+      cluster.report_all();
+    }
+    auto report_of_zone = [&](const std::string& zone, int first, int last) {
+      for (int i = first; i < last; ++i)
+        if (Cluster::zone_of(cluster.machine(i)) == zone) cluster.report(cluster.machine(i));
+    };
+    cluster.cut_zone = "west";
+    for (int i = 0; i < 45; ++i) {
+      cluster.pass(1);
+      if (i == 30 && restarted) cluster.restart();
+      report_of_zone("east", 0, 60);
+    }
+    cluster.cut_zone.clear();
+    // The cut is over, and most of the zone's workers are heard before the others.
+    report_of_zone("west", 0, 40);
+    cluster.pass(1);
+    report_of_zone("west", 0, 40);
+    cluster.pass(3);
+    EXPECT_EQ(cluster.deleted(), 0u) << restarted;
+  }
+}
+
 // Half again more than the largest fleet.
 constexpr int kSmall = 30, kLarge = 1700;
 
@@ -236,6 +273,10 @@
   large.pass(30);
   EXPECT_GE(large.rented(), 900u);
   EXPECT_LE(large.cloud_calls(), 40u);
+  // Nothing can be on them while they boot: another holder does not wait for them.
+  large.restart();
+  large.pass(3);
+  EXPECT_EQ(large.parts_settled(), 1u);
 }
 
 }  // namespace
