--- a/tests/size_test.cpp
+++ b/tests/size_test.cpp
@@ -111,6 +111,16 @@
     const std::uint64_t request = ++request_;
     event([&] { core_->on_poll(request, id); });
   }
+  /// What a user is told who polls just before the process stands still for a while.
+  int told_after(Micros standstill, int number) {
+    const std::string id = "run-" + std::to_string(100000 + number);
+    core_->at(now_, now_ + seconds(1'000'000));
+    core_->on_poll(++request_, id);
+    int status = 0;
+    for (const Action& action : core_->take_actions(now_ + standstill))
+      if (const auto* told = std::get_if<AnswerUser>(&action)) status = told->reply.status;
+    return status;
+  }
   /// Lets seconds go by.
   void pass(int span) {
     for (int i = 0; i < span * 20; ++i) {
@@ -221,6 +231,13 @@
   }
 }
 
+// Its term may be over, and somebody else may have said more meanwhile.
+TEST(Standstill, NothingIsToldThatMayBeOutOfDate) {
+  Cluster cluster(30);
+  EXPECT_EQ(cluster.told_after(millis(10), 0), 200);
+  EXPECT_EQ(cluster.told_after(seconds(5), 0), 503);
+}
+
 // Half again more than the largest fleet.
 constexpr int kSmall = 30, kLarge = 1700;
 
