--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -133,6 +133,8 @@
   s.cancel_within = seconds(workers.positive("cancel_s"));
   if (s.worker_lease < s.report_every) workers.fail("lease_s", "must not be below report_s");
   if (s.cancel_within <= s.worker_lease + seconds(2)) workers.fail("cancel_s", "must be well above lease_s");
+  if (s.cancelled_gone_within() > s.cancel_within)
+    workers.fail("cancel_s", "a cancelled task could not be gone in time: must be well above lease_s");
   const Section state = settings.section("state");
   s.state_calls_per_s = state.positive("rps");
   s.state_writes_per_s = state.positive("write_rps");
--- a/src/core/calls.h
+++ b/src/core/calls.h
@@ -180,6 +180,12 @@
 struct Awarded {
   std::string part;
 };
+/// The last write of a job is made: nothing of it that was awarded to the part may run. This alone is acted
+/// on without a read, as it can only stop what is over.
+struct Ended {
+  std::string part;
+  std::string job;
+};
 struct Progress {
   std::string part;  ///< the part that owns the jobs
 };
@@ -212,6 +218,7 @@
   std::string to;
   std::string team;
   Quota want;
+  Micros waits_since{0};  ///< wall clock: when the job that needs it was accepted
 };
 /// The cloud has no more machines of this kind for now.
 struct Scarce {
@@ -220,7 +227,7 @@
   bool spot = false;
 };
 using PeerMessage = std::variant<JobQuery, JobReply, Call, Proposal, Awarded, Progress, HandBack, Lend,
-                                 Scarce, Wellbeing, Resign>;
+                                 Scarce, Wellbeing, Resign, Ended>;
 
 // ---- actions -------------------------------------------------------------------------------------
 enum class LogLevel : std::uint8_t { error, info, debug };
--- a/src/core/contract.cpp
+++ b/src/core/contract.cpp
@@ -52,23 +52,21 @@
       return !j.second.awards.empty() && j.second.owner.empty();
     });
     if (awarded && now >= part.next_progress) read_progress(part);
-    if (now - part.awards_known_at > cluster_.context.settings.term()) {
-      // We can't tell any more whether these jobs still run: they may have been cancelled.
-      stop_awarded(part);
-      continue;
-    }
-    start_calls(part);
+    if (now >= part.awards_good_until)
+      for (auto& [machine, m] : part.machines) stop_doubtful(part, m);
+    else
+      start_calls(part);
   }
 }
 
-void ContractNet::stop_awarded(Part& part) {
-  for (auto& [machine, m] : part.machines)
-    for (auto& [id, p] : m.tasks) {
-      auto it = part.jobs.find(id.task.job);
-      if (!p.wanted || it == part.jobs.end() || it->second.owner.empty()) continue;
-      part.change(m, id, p, [](Placement& q) { q.wanted = false; });
-      part.push_to(m);
-    }
+void ContractNet::stop_doubtful(Part& part, Machine& m) {
+  if (cluster_.now() < part.awards_good_until) return;
+  for (auto& [id, p] : m.tasks) {
+    auto it = part.jobs.find(id.task.job);
+    if (!p.wanted || it == part.jobs.end() || !part.in_doubt(it->second, cluster_.now())) continue;
+    part.change(m, id, p, [](Placement& q) { q.wanted = false; });
+    part.push_to(m);
+  }
 }
 
 /// Only its owner awards tasks of a job. Zone rules over all of its tasks need one decider. And the last
@@ -179,14 +177,7 @@
     ++counters_.infeasible;
     job.refused = true;
     if (!job.short_of_share) return refuse_alike(*part, job);
-    // Nobody has room under its own share; unused share may still be had.
-    const Proposal* richest = nullptr;
-    for (const auto& [name, p] : n.proposals)
-      if (richest == nullptr || p.free_share.cpu > richest->free_share.cpu) richest = &p;
-    if (richest == nullptr) return;
-    const Quota each = quota_of(job.spec.each);
-    send(richest->part,
-         Lend{richest->part, n.part, job.spec.team, each * static_cast<std::int64_t>(job.waiting.size())});
+    ask_for_share(*part, job, n);
     return;
   }
   const bool close =
@@ -206,6 +197,23 @@
   award(*part, job, feasible.front());
 }
 
+/// Nobody has room under its own share; unused share may still be had, piece by piece: what each part has
+/// left may be less than one task takes.
+void ContractNet::ask_for_share(Part& part, const Job& job, const Negotiation& n) {
+  std::vector<const Proposal*> rich;
+  for (const auto& [name, p] : n.proposals)
+    if (p.free_share != Quota{}) rich.push_back(&p);
+  std::sort(rich.begin(), rich.end(),
+            [](const Proposal* a, const Proposal* b) { return a->free_share > b->free_share; });
+  const Quota want = quota_of(job.spec.each) * static_cast<std::int64_t>(job.waiting.size());
+  Quota had = part.free_share(job.spec.team);
+  for (const Proposal* p : rich) {
+    if (want.fits_in(had)) return;
+    send(p->part, Lend{p->part, part.name, job.spec.team, want - had, job.accepted});
+    had += p->free_share;
+  }
+}
+
 /// Who had no room for one task of this job has none for its like either: these need not call one by one.
 void ContractNet::refuse_alike(Part& part, const Job& refused) {
   const JobSpec& r = refused.spec;
@@ -393,11 +401,17 @@
   if (part == nullptr || lend.to == lend.from || !cluster_.routes.contains(lend.to)) return;
   if (part->room_busy || part->room_stale || part->room_stamp == 0 || !part->shares.contains(lend.team))
     return;
-  Quota free = part->free_share(lend.team);
-  for (const auto& [id, job] : part->jobs)
-    // A job that no machine can be had for does not hold on to share that others can use.
-    if (job.spec.team == lend.team && !job.ended && !job.unrentable)
-      free -= quota_of(job.spec.each) * static_cast<std::int64_t>(job.waiting.size());
+  const Quota unused = part->free_share(lend.team);
+  Quota free = unused;
+  for (const auto& [id, job] : part->jobs) {
+    if (job.spec.team != lend.team || job.ended || job.waiting.empty()) continue;
+    const Quota each = quota_of(job.spec.each);
+    // A job that no machine can be had for does not hold on to share that others can use. Nor does one that
+    // can't start with what is left here: pieces go to the job that waits longest, or two parts would each
+    // keep one for ever.
+    if (job.unrentable || (lend.waits_since < job.accepted && unused.holds(each) == 0)) continue;
+    free -= each * (job.suspect() ? 1 : static_cast<std::int64_t>(job.waiting.size()));
+  }
   Move move;
   move.part = part->name;
   move.generation = part->generation;
@@ -441,6 +455,14 @@
   part->room_stale = true;
 }
 
+void ContractNet::on_ended(const Ended& ended) {
+  Part* part = cluster_.ready(ended.part);
+  if (part == nullptr) return;
+  part->next_awards = Micros{0};
+  auto it = part->jobs.find(ended.job);
+  if (it != part->jobs.end() && !it->second.owner.empty()) part->end(it->second);
+}
+
 void ContractNet::read_room(Part& part) {
   part.room_busy = true;
   cluster_.store.get(records::room_key(part.name),
@@ -468,7 +490,8 @@
     if (p == nullptr) return;
     p->reading_awards = false;
     if (!a.ok()) return;
-    p->awards_known_at = asked;
+    p->awards_known(asked, cluster_.context.settings.term());
+    p->changed();
     load_awards(*p, a.rows);
     // What is no longer awarded to us is over: done, or cancelled by its owner.
     std::set<std::string> current;
--- a/src/core/contract.h
+++ b/src/core/contract.h
@@ -20,7 +20,11 @@
   void on_proposal(const Proposal& proposal);
   void on_lend(const Lend& lend);
   void on_awarded(const std::string& part);
+  void on_ended(const Ended& ended);
   void on_progress(const std::string& part);
+  /// Awarded tasks go once we can't tell any more whether they still are ours: their job may be cancelled. To
+  /// be called before each answer to a worker, which renews its lease: no renewal without the stop.
+  void stop_doubtful(Part& part, Machine& m);
   /// Applies the award records of a part when it is loaded.
   void load_awards(Part& part, const std::vector<StateRow>& rows);
   /// The end of finished tasks as other parts recorded it.
@@ -46,10 +50,9 @@
   bool may_be_awarded(const Job& job) const;
   void ask(Negotiation& n);
   void decide(std::uint64_t id);
+  void ask_for_share(Part& part, const Job& job, const Negotiation& n);
   void refuse_alike(Part& part, const Job& refused);
   void award(Part& part, Job& job, const Proposal& best);
-  /// What was awarded to us, once we can't tell any more whether it still is.
-  void stop_awarded(Part& part);
   /// A write that moves share out of a part's room and perhaps an award with it.
   struct Move {
     std::string part;
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -16,8 +16,11 @@
 Controller::Controller(Settings settings, std::string incarnation, std::uint64_t seed)
     : context_{std::move(settings), {}, std::move(incarnation), std::mt19937_64(seed), {}, {}, {}, {}},
       cluster_(context_),
-      fleet_(cluster_,
-             {[this](Part& p, Machine& m) { scheduler_.fill(p, m); }, [this] { holdings_.doubt(); }}),
+      fleet_(cluster_, {[this](Part& p, Machine& m) {
+                          net_.stop_doubtful(p, m);
+                          scheduler_.fill(p, m);
+                        },
+                        [this] { holdings_.doubt(); }}),
       scheduler_(cluster_, fleet_),
       net_(cluster_, scheduler_, {[this] { holdings_.doubt(); }}),
       jobs_(cluster_, {[this](Part& p) { schedule(p); }, [this] { holdings_.doubt(); }}),
@@ -76,6 +79,9 @@
       auto* reply = send == nullptr ? nullptr : std::get_if<JobReply>(&send->message);
       if (stood_still && told != nullptr && !is_final(told->reply.phase)) told->reply.status = 503;
       if (stood_still && reply != nullptr && !is_final(reply->phase)) reply->status = 503;
+      // Nor may starts be sent for what may be cancelled by now. They count as not sent by the next report.
+      if (auto* call = std::get_if<WorkerCall>(&action); stood_still && call != nullptr)
+        std::erase_if(call->request.orders, [](const Order& o) { return o.kind == Order::Kind::start; });
       if (send != nullptr && send->host == cluster_.self())
         on_peer(cluster_.self(), send->message);
       else
@@ -94,6 +100,7 @@
     void operator()(const Call& m) { c.net_.on_call(m); }
     void operator()(const Proposal& m) { c.net_.on_proposal(m); }
     void operator()(const Awarded& m) { c.net_.on_awarded(m.part); }
+    void operator()(const Ended& m) { c.net_.on_ended(m); }
     void operator()(const Progress& m) { c.net_.on_progress(m.part); }
     void operator()(const HandBack& m) {
       if (m.part == host) c.holdings_.hand_back(m.part);
@@ -217,7 +224,7 @@
   net_.load_awards(part, awards);
   net_.load_progress(part, done, true);
   fleet_.recall(part);
-  part.awards_known_at = part.taken_at;
+  part.awards_known(part.taken_at, context_.settings.term());
   make_room_record(part);
 }
 
@@ -244,11 +251,14 @@
       return;
     }
     if (a.outcome != Outcome::absent) return again();
-    // The first holder ever: an equal share of every limit, rounded down, so that they never sum above it.
+    // The first holder ever: an equal share of every limit, the first part with what is left over, so that
+    // they sum to the limit.
     records::Room room;
     const auto parts = static_cast<std::int64_t>(context_.settings.controllers());
+    const bool first = name == cluster_.routes.begin()->first;
+    auto share = [&](std::int64_t limit) { return limit / parts + (first ? limit % parts : 0); };
     for (const Team& team : context_.settings.teams)
-      room.shares[team.name] = {team.limit.cpu / parts, team.limit.gpu / parts};
+      room.shares[team.name] = {share(team.limit.cpu), share(team.limit.gpu)};
     StateCommit txn;
     txn.conditions = {cluster_.holds(*p), {records::room_key(name), 0}};
     txn.writes = {{records::room_key(name), records::to_json(room), 0}};
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -159,8 +159,11 @@
     return answer(request, 503);
   m.last_reported = cluster_.now();
   if (!believable(part, report) && m.told_at &&
-      m.last_reported - *m.told_at > cluster_.context.settings.report_pause())
+      m.last_reported - *m.told_at > cluster_.context.settings.report_pause()) {
+    // One sign for each pause: reports that a cut held back come all at once, from a machine that is well.
     m.unheeded += 2;
+    m.told_at = m.last_reported;
+  }
   // Nothing reaches it, so an answer would renew nothing; but the proof by its lease would wait for one that
   // did.
   if (m.unheeded >= kDeafSigns) return answer(request, 503);
@@ -178,13 +181,36 @@
     reply.orders = orders(part, m, report.sequence);
     m.answered_in = report.sequence;
     m.answered_token = part.token;
-  } else if (!m.settled) {
-    m.address = report.address;
-    part.push_to(m);
+  } else {
+    reply.orders = strangers(part, report);
+    if (!m.settled) {
+      m.address = report.address;
+      part.push_to(m);
+    }
   }
   cluster_.context.act(AnswerWorker{request, std::move(reply)});
 }
 
+/// Stops for the tasks of jobs that this part does not have: they are over. True of any account, however old,
+/// and said with every answer, as each renews the lease: holders that follow one another within seconds would
+/// else keep the tasks of a cancelled job alive.
+std::vector<Order> Fleet::strangers(const Part& part, const Report& report) const {
+  std::vector<Order> out;
+  for (const ReportedTask& t : report.tasks)
+    if (t.phase != TaskPhase::exited && !part.jobs.contains(t.task.job) && out.size() < kOrders / 2)
+      out.push_back({Order::Kind::stop, t.task, t.attempt, {}});
+  return out;
+}
+
+/// Its lease runs from the beginning of the session, which we learn of by a refused or executed order as
+/// well: a worker that reaches no controller still gets orders. Without this its tasks would be given up, and
+/// started elsewhere, while they run on for the rest of the new lease.
+void Fleet::begin_session(Machine& m, std::uint64_t session) {
+  m.session = session;
+  m.sequence = m.reported_sequence = m.answered_in = 0;
+  m.last_answered = cluster_.now();
+}
+
 /// An account that shows no token of this holding may be a late copy from before it, by any time: it may be
 /// answered, so that the worker learns the token, but nothing it says is believed.
 bool Fleet::believable(const Part& part, const Report& report) const {
@@ -196,10 +222,10 @@
   if (report.session > m.session) {
     // A new session begins with an empty machine.
     release_all(part, m);
-    m.session = report.session;
-    m.reported_sequence = 0;
-    m.answered_in = 0;
+    begin_session(m, report.session);
   }
+  // Lost, and yet there: it began the session that we expected at some moment unknown.
+  if (m.lost) m.last_answered = now;
   m.sequence = report.sequence;
   m.address = report.address;
   if (!m.heard || m.lost) {
@@ -216,6 +242,7 @@
   }
   for (const ReportedTask& t : report.tasks) note(part, m, t, report.sequence);
 
+  if (report.token > m.shown_token) m.unheeded = 0;  // it took up a token: something reaches it
   bool asked = m.answered_in != 0 && m.answered_token > m.shown_token;
   bool heeded = report.token >= m.answered_token;
   m.shown_token = report.token;
@@ -396,8 +423,7 @@
         forgets.push_back({Order::Kind::forget, id.task, id.attempt, {}});
     } else if (!p.wanted) {
       if (p.seen == Placement::Seen::no) continue;
-      Micros grace =
-          job != nullptr && !job->ended && job->spec.checkpoint.count() > 0 ? job->spec.save : Micros{0};
+      const Micros grace = job == nullptr ? Micros{0} : time_to_save(part, *job);
       if (p.stop_since == Micros{0}) p.stop_since = cluster_.now();
       stops.push_back({Order::Kind::stop, id.task, id.attempt, grace});
     } else if (p.seen == Placement::Seen::no && p.direct_in_flight == 0 && starts.size() < kOrders / 2) {
@@ -412,6 +438,17 @@
   return all;
 }
 
+/// A task that is told to stop may save, unless its job may be cancelled: then it has to be gone in time even
+/// if its machine hangs while it saves.
+Micros Fleet::time_to_save(const Part& part, const Job& job) const {
+  const Settings& s = cluster_.context.settings;
+  if (job.ended || job.spec.checkpoint.count() == 0) return {};
+  const Micros at_most = surely_over(std::max(s.worker_lease, job.spec.save));
+  const bool in_time =
+      job.owner.empty() || cluster_.now() + at_most <= part.awards_known_at + s.cancel_within;
+  return in_time ? job.spec.save : Micros{0};
+}
+
 /// Whether something should not wait for the machine's next report.
 bool Fleet::urgent(const Machine& m) const {
   if (!m.settled) return true;
@@ -500,11 +537,14 @@
   }
   if (answer.outcome == OrdersAnswer::Outcome::lost && m.settled) ++m.unheeded;
   if (answer.report && answer.report->machine == m.name && answer.report->token <= part->token) {
-    if (!m.settled && answer.outcome == OrdersAnswer::Outcome::refused)
-      m.session = std::max(m.session, answer.report->session);  // it is shown the token once more
-    else if (believable(*part, *answer.report) &&
-             std::pair(answer.report->session, answer.report->sequence) > std::pair(m.session, m.sequence))
+    if (!m.settled && answer.outcome == OrdersAnswer::Outcome::refused) {
+      // It is shown the token once more.
+      if (answer.report->session > m.session) begin_session(m, answer.report->session);
+    } else if (believable(*part, *answer.report) &&
+               std::pair(answer.report->session, answer.report->sequence) >
+                   std::pair(m.session, m.sequence)) {
       apply(*part, m, *answer.report, false);
+    }
     if (answer.outcome == OrdersAnswer::Outcome::executed) m.unheeded = 0;
   }
   if (answer.outcome != OrdersAnswer::Outcome::lost && urgent(m)) part->push_to(m);
@@ -516,7 +556,9 @@
   const Micros now = cluster_.now();
   return m.heard && m.settled && m.in_use && !m.lost && !m.condemned && !m.quarantined && !m.notice_until &&
          m.unheeded < kDeafSigns - 1 && now >= m.avoid_until &&
-         now - m.last_heard <= cluster_.context.settings.report_every * 2 + millis(500);
+         // Orders may reach one that can't report, but do not renew its lease.
+         now - std::min(m.last_heard, m.last_reported) <=
+             cluster_.context.settings.report_every * 2 + millis(500);
 }
 
 void Fleet::watch(Part& part) {
@@ -545,8 +587,9 @@
   for (auto& [name, m] : part.machines) {
     // Deaf: its reports arrive, but neither answers nor commands reach it.
     const bool deaf = m.unheeded >= kDeafSigns;
-    const bool silent =
-        (m.heard || !m.tasks.empty()) && now - m.last_heard > silence && !part.cut_zones.contains(m.zone);
+    const bool silent = (m.heard || !m.tasks.empty()) &&
+                        now - std::min(m.last_heard, m.last_reported) > silence &&
+                        !part.cut_zones.contains(m.zone);
     if (m.condemned || !(deaf || silent)) continue;
     m.condemned = true;
     cluster_.context.info("machine " + name + (deaf ? " reports but takes up nothing" : " is silent") +
@@ -566,7 +609,7 @@
     if (m.condemned || (!m.heard && booting(m))) continue;
     Tally& tally = zones[m.zone];
     ++tally.up;
-    if (now - std::max(m.last_heard, m.last_reported) > late) ++tally.silent;
+    if (now - m.last_reported > late) ++tally.silent;
   }
   // With no machine left there, nothing would ever show that the zone can be reached again.
   std::erase_if(part.cut_zones, [&](const auto& cut) { return !zones.contains(cut.first); });
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -62,6 +62,9 @@
   void release(Part& part, Machine& m, const AttemptId& id);
   void release_all(Part& part, Machine& m);
   std::vector<Order> orders(Part& part, Machine& m, std::uint64_t in_report);
+  std::vector<Order> strangers(const Part& part, const Report& report) const;
+  Micros time_to_save(const Part& part, const Job& job) const;
+  void begin_session(Machine& m, std::uint64_t session);
   bool urgent(const Machine& m) const;
   std::size_t most_direct_calls() const;
   void watch(Part& part);
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -102,7 +102,7 @@
     ask(peers(), {0, JobQuery::Kind::poll, id, true, {}}, kPassOnWithin, told);
   };
   if (cluster_.store.failing() && may_pass_on) return unreadable();
-  cluster_.store.get(records::live_key(id), [this, id, told, may_pass_on, unreadable](const StateAnswer& a) {
+  const auto read = [this, id, told, may_pass_on, unreadable, asked = cluster_.now()](const StateAnswer& a) {
     if (a.outcome == Outcome::absent) {
       // Not live at that moment: over since before, or never accepted.
       return cluster_.store.get(records::job_key(id), [this, id, told, unreadable](const StateAnswer& b) {
@@ -118,14 +118,17 @@
     if (!live) return unreadable();
     learn(*live);
     Part* part = cluster_.ready(live->part);
-    if (part != nullptr && !part->jobs.contains(id) && !finals_.contains(id)) load(*part, *live);
+    // A record read before the part was taken may be out of date: another holder may have ended the job.
+    if (part != nullptr && part->taken_at <= asked && !part->jobs.contains(id) && !finals_.contains(id))
+      load(*part, *live);
     const std::string holder = cluster_.holder(live->part);
     // The record is fresh, so the answer is right either way; the holder knows the counts.
     if (holder == cluster_.self() || !may_pass_on || !cluster_.reachable(holder))
       return told(known_reply(id, {}));
     ask({holder}, {0, JobQuery::Kind::poll, id, false, {}}, kAskWithin,
         [id, told](const UserReply& reply) { told(reply.status == 200 ? reply : known_reply(id, {})); });
-  });
+  };
+  cluster_.store.get(records::live_key(id), read);
 }
 
 void Jobs::ask(const std::vector<std::string>& hosts, JobQuery query, Micros within, Told told) {
@@ -340,7 +343,7 @@
   if (auto part = part_of_.find(id);
       part != part_of_.end() && may_pass_on && cluster_.holder(part->second) != cluster_.self())
     return pass_on({cluster_.holder(part->second)});
-  cluster_.store.get(records::live_key(id), [this, id, told, pass_on, cancel_here](const StateAnswer& a) {
+  const auto read = [this, id, told, pass_on, cancel_here, asked = cluster_.now()](const StateAnswer& a) {
     // Not live: whatever else there is to be told of it, it can't be cancelled any more.
     if (a.outcome == Outcome::absent) return read_and_tell(id, told, false);
     auto live = a.ok() && !a.rows.empty() ? records::live_job(a.rows.front().value) : std::nullopt;
@@ -349,9 +352,10 @@
     const std::string holder = cluster_.holder(live->part);
     if (holder != cluster_.self()) return pass_on({holder});
     Part* part = cluster_.ready(live->part);
-    if (part == nullptr || finals_.contains(id)) return told(unsure(id));
+    if (part == nullptr || part->taken_at > asked || finals_.contains(id)) return told(unsure(id));
     cancel_here(*part, load(*part, *live));
-  });
+  };
+  cluster_.store.get(records::live_key(id), read);
 }
 
 void Jobs::finalize(Part& part, Job& job, JobPhase phase, Told told) {
@@ -381,7 +385,7 @@
         j.finalizing = false;
         p->end(j);
         for (const auto& [key, winner] : j.awards)
-          cluster_.context.act(PeerSend{cluster_.holder(winner), Awarded{winner}});
+          cluster_.context.act(PeerSend{cluster_.holder(winner), Ended{winner, id}});
         settle(*p);
       }
       remember(id, known);
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -231,7 +231,8 @@
   bool room_busy = false;   ///< a write or read of our room record is under way
   bool room_stale = false;  ///< somebody else wrote our room record
   bool reading_awards = false;
-  Micros awards_known_at{0};  ///< the awards to us are known as of then
+  Micros awards_known_at{0};    ///< the awards to us are known as of then
+  Micros awards_good_until{0};  ///< and are acted on until then: they may be taken back unseen
   Micros next_awards{0};
   bool reading_progress = false;
   Micros next_progress{0};  ///< when to read what others did of our jobs
@@ -270,6 +271,17 @@
   bool all_settled() const {
     return std::all_of(machines.begin(), machines.end(), [](const auto& m) { return m.second.settled; });
   }
+  void awards_known(Micros as_of, Micros term) {
+    awards_known_at = as_of;
+    awards_good_until = as_of + term;
+  }
+  /// An award may have been taken back, and its job cancelled, since the awards were last read.
+  bool in_doubt(const Job& job, Micros now) const { return !job.owner.empty() && now >= awards_good_until; }
+  /// Whether tasks of the job may be started. Asked right before a placement: a term may have ended, and
+  /// begun again without a word from the state service, since the queue was made.
+  bool may_start(const Job& job, Micros now) const {
+    return job.can_start(now) && !job.unsettled && !in_doubt(job, now);
+  }
   /// Unique among all attempts that were ever made: tokens are, and they grow.
   std::uint64_t next_attempt() { return (token << 16) + ++starts; }
 
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -8,6 +8,8 @@
 constexpr int kShortFetch = 10;             ///< a fetch is short if the run takes this many times longer
 constexpr int kMakingRoomPerPass = 4;       ///< jobs for which others may be stopped
 constexpr Micros kPassEvery = millis(500);  ///< if nothing has changed
+/// Work of a job has to begin within 4 minutes. From the half of that on it goes before its equals.
+constexpr Micros kLongest = seconds(120);
 
 }  // namespace
 
@@ -50,9 +52,12 @@
   for (auto& [id, job] : part.jobs) {
     job.overflow = 0;
     job.short_of_share = false;
-    if (!job.can_start(cluster_.now()) || job.unsettled) continue;
+    if (!part.may_start(job, cluster_.now())) continue;
     const std::string& team = job.spec.team;
-    const auto [lost, start_by] = urgency(job);
+    auto [lost, start_by] = urgency(job);
+    // Where there is always something more pressing, one that has long been waiting for its first task would
+    // never begin.
+    if (job.done == 0 && job.present == 0 && cluster_.context.wall - job.accepted > kLongest) lost = -1;
     part.queue.push_back(
         {&job, lost, start_by, (part.used(team) + quota_of(job.spec.each)).fits_in(guarantee(part, team))});
   }
@@ -217,7 +222,7 @@
   for (const bool cached_only : {true, false})
     for (const Ranked& r : part.queue) {
       const Job& job = *r.job;
-      if (!job.can_start(cluster_.now()) || job.unsettled || job.failed_on.contains(machine.name)) continue;
+      if (!part.may_start(job, cluster_.now()) || job.failed_on.contains(machine.name)) continue;
       if (first == nullptr) first = &r;
       if (cached_only && (!equal(r) || !machine.images.contains(job.spec.image))) continue;
       if (!job.spec.each.fits_in(room.free)) continue;
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -64,6 +64,10 @@
     const Micros before_workers_lease = worker_lease - report_every * 5 / 4 - seconds(4 + 1 + 2);
     return std::clamp(before_workers_lease, longest / 2, longest);
   }
+  /// The longest time from the moment at which a user is told that a job is cancelled until its last task is
+  /// gone (docs/DESIGN.md): a controller that can't know acts on what it read before for a term, and a worker
+  /// that nothing reaches runs on for its lease after the last answer that it got.
+  Micros cancelled_gone_within() const { return surely_over(term()) + surely_over(worker_lease); }
 };
 
 }  // namespace bendtide
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -160,6 +160,7 @@
   plan.end = seconds(200);
   plan.jobs = 60;
   plan.sabotage = GetParam().sabotage;
+  plan.odd_requests = plan.sabotage == Sabotage::accept_unfit;
   Day day(plan);
   day.play();
   EXPECT_TRUE(day.checker().broken().contains(GetParam().rule)) << day.checker().summary();
@@ -173,10 +174,22 @@
         Planted{Sabotage::deny_jobs, "forgotten"}, Planted{Sabotage::confirm_anything, "invented"},
         Planted{Sabotage::call_done_early, "not_done"}, Planted{Sabotage::take_back, "went_back"},
         Planted{Sabotage::start_nothing, "nothing_ran"}, Planted{Sabotage::starve_team, "starved"},
-        Planted{Sabotage::starve_large, "starved"}, Planted{Sabotage::ignore_one, "forgotten"}),
+        Planted{Sabotage::starve_large, "starved"}, Planted{Sabotage::ignore_one, "forgotten"},
+        Planted{Sabotage::starve_team, "neglected"}, Planted{Sabotage::accept_unfit, "accepted_unfit"}),
     [](const auto& info) {
       return std::string(info.param.rule) + "_" + std::to_string(static_cast<int>(info.param.sabotage));
     });
 
+TEST(PlantedStart, OfACancelledJobIsCounted) {
+  DayPlan plan;
+  plan.troubles = false;
+  plan.end = seconds(200);
+  plan.jobs = 60;
+  plan.sabotage = Sabotage::start_cancelled;
+  Day day(plan);
+  day.play();
+  EXPECT_GT(day.checker().starts_after_cancel(), 0u);
+}
+
 }  // namespace
 }  // namespace bendtide::sim
--- a/tests/sim/checker.cpp
+++ b/tests/sim/checker.cpp
@@ -5,6 +5,10 @@
 namespace bendtide::sim {
 
 void Checker::told(const std::string& id, int status, JobPhase phase, Micros asked, Micros now) {
+  if (unfit_.contains(id)) {
+    if (status == 200 || status == 201) breaks("accepted_unfit", id);
+    return;
+  }
   auto it = jobs_.find(id);
   const bool real = it != jobs_.end() && !it->second.spec.id.empty();
   if (status == 200 || status == 201) {
@@ -39,6 +43,39 @@
     breaks("forgotten", id + " can't be asked about");
 }
 
+bool Checker::ordered(const TaskId& task, Micros now) {
+  const Job& job = jobs_[task.job];
+  // The word of it to whom a task was awarded may be under way, or be lost and read a little later.
+  const bool late =
+      job.told_final && job.final_phase == JobPhase::cancelled && now - job.final_at > seconds(1);
+  starts_after_cancel_ += late ? 1 : 0;
+  return late;
+}
+
+std::vector<std::string> Checker::zones_of(const std::string& id) const {
+  std::vector<std::string> out;
+  for (const auto& [index, place] : jobs_.at(id).places) out.push_back(place.zone);
+  return out;
+}
+
+bool Checker::waits(const std::string& id) const {
+  const Job& job = jobs_.at(id);
+  return job.accepted && !job.cancel_asked && !job.told_final &&
+         job.completed.size() + job.places.size() < job.spec.tasks;
+}
+
+void Checker::could_run(const std::string& id, bool could, Micros now) {
+  Job& job = jobs_[id];
+  if (!could) {
+    job.neglected_since = Micros{-1};
+  } else if (job.neglected_since < Micros{0}) {
+    job.neglected_since = now;
+  } else if (now - job.neglected_since > seconds(90)) {
+    breaks("neglected", id + " waits beside a machine with room");
+    job.neglected_since = now;
+  }
+}
+
 void Checker::on(const TaskId& task, const std::string& machine, const std::string& type,
                  const std::string& zone, bool spot, Micros now) {
   ++starts_;
--- a/tests/sim/checker.h
+++ b/tests/sim/checker.h
@@ -27,6 +27,16 @@
   /// A poll that got no usable answer.
   void unanswered(const std::string& id, Micros now);
 
+  /// A submission that can never run: no answer may call it accepted.
+  void unfit(const std::string& id) { unfit_.insert(id); }
+  /// Whether a task of the job waits though it could run, as the caller knows; called regularly.
+  void could_run(const std::string& id, bool could, Micros now);
+
+  /// A start as a controller orders it; a machine may execute it later.
+  /// Whether its job was called cancelled before.
+  bool ordered(const TaskId& task, Micros now);
+  /// Starts ordered after a user was told that the job is cancelled.
+  std::size_t starts_after_cancel() const { return starts_after_cancel_; }
   // What machines do. A task is on its machine from the moment it has its image.
   void on(const TaskId& task, const std::string& machine, const std::string& type, const std::string& zone,
           bool spot, Micros now);
@@ -37,6 +47,17 @@
     auto it = jobs_.find(task.job);
     return it != jobs_.end() && it->second.completed.contains(task.index);
   }
+  /// Zones of the tasks of a job that are on machines.
+  std::vector<std::string> zones_of(const std::string& id) const;
+  std::size_t completed(const std::string& id) const { return jobs_.at(id).completed.size(); }
+  bool waits(const std::string& id) const;
+  const Quota& used(const std::string& team) { return used_[team]; }
+  bool calm() const { return calm_since_.has_value(); }
+  bool runs(const std::string& id, const std::string& machine) const {
+    auto it = jobs_.find(id);
+    return it != jobs_.end() && std::any_of(it->second.places.begin(), it->second.places.end(),
+                                            [&](const auto& p) { return p.second.machine == machine; });
+  }
   bool runs(const std::string& id) const { return jobs_.contains(id) && !jobs_.at(id).places.empty(); }
   /// All troubles are over: from now on everybody has to get answers.
   void calm(Micros now) { calm_since_ = now; }
@@ -63,6 +84,7 @@
     Micros began_at{-1};
     Micros answered_at{0};
     Micros failing_since{-1};
+    Micros neglected_since{-1};
     int failures = 0;
     std::set<std::uint32_t> completed;
     std::multimap<std::uint32_t, Place> places;
@@ -74,6 +96,8 @@
   std::map<std::string, Job> jobs_;
   std::map<std::string, Quota> used_;
   std::size_t starts_ = 0;
+  std::size_t starts_after_cancel_ = 0;
+  std::set<std::string> unfit_;
   std::optional<Micros> calm_since_;
   std::map<std::string, std::vector<std::string>> broken_;
 };
--- a/tests/sim/day.cpp
+++ b/tests/sim/day.cpp
@@ -22,6 +22,7 @@
   Settings s;
   s.zones = {"east", "west"};
   s.teams = {{"blue", {16000, 0}, {48000, 0}}, {"green", {16000, 0}, {30000, 0}}};
+  if (plan.tight_limits) s.teams = {{"blue", {8000, 0}, {24000, 0}}, {"green", {8000, 0}, {20000, 0}}};
   s.report_every = seconds(plan.slow_reports ? 4 : 1.5);
   s.worker_lease = seconds(plan.slow_reports ? 20 : 12);
   s.cancel_within = seconds(40);
@@ -73,7 +74,7 @@
 
 void Day::send(const std::string& from, const std::string& to, std::function<void()> deliver) {
   if (auto it = cuts_.find(std::minmax(from, to)); it != cuts_.end()) {
-    if (it->second.hold) it->second.parked.push_back(std::move(deliver));
+    if (it->second.hold) it->second.parked.push_back(std::move(deliver)), ++seen_["messages held"];
     return;
   }
   Micros latency = millis(1) + Micros{pick(4000)};
@@ -189,11 +190,28 @@
   return message;
 }
 
+void Day::count_starts(const std::vector<Order>& orders) {
+  for (const Order& o : orders)
+    if (o.kind == Order::Kind::start && checker_.ordered(o.task, now_) && plan_.verbose)
+      std::printf("%9.3f ---- %s/%u is started though it is cancelled\n", in_seconds(now_),
+                  o.task.job.c_str(), o.task.index);
+}
+
 void Day::perform(Node& node, Action action) {
   struct Visitor {
     Day& d;
     Node& node;
     void operator()(StateCall& a) {
+      if (std::holds_alternative<StateCommit>(a.request) && d.now_ < d.transactions_late_until_ &&
+          !d.state_out_ && d.chance() < 0.3) {
+        ++d.seen_["transactions carried out late"];
+        d.after(seconds(2 + d.chance() * 10), [this_ = &d, http = wire::request_of(a.request)] {
+          this_->state_.handle(http, this_->now_);
+        });
+        return d.after(seconds(1), [this_ = &d, n = &node, life = node.life, call = a.call] {
+          this_->on_node(*n, life, [call](Controller& c) { c.on_state(call, StateAnswer{}); });
+        });
+      }
       d.call<StateAnswer>(
           node, kState, seconds(1),
           [this_ = &d, request = a.request, host = node.host] {
@@ -216,6 +234,7 @@
           [call = a.call](Controller& c, const CloudAnswer& answer) { c.on_cloud(call, answer); });
     }
     void operator()(WorkerCall& a) {
+      d.count_starts(a.request.orders);
       const std::string machine = a.request.address.substr(0, a.request.address.find(':'));
       d.call<OrdersAnswer>(
           node, machine, millis(1500),
@@ -263,6 +282,8 @@
     }
     void operator()(AnswerAdmin&) {}
     void operator()(LogLine& a) {
+      if (a.text.starts_with("took part")) ++d.seen_["parts taken"];
+      if (a.text.ends_with("is silent for its whole lease")) ++d.seen_["leases over"];
       if (d.plan_.verbose)
         std::printf("%9.3f %s %s\n", in_seconds(d.now_), node.host.c_str(), a.text.c_str());
     }
@@ -295,7 +316,9 @@
     hooks.run_time = [this](const TaskId& task) {
       const JobSpec& spec = specs_.at(task.job);
       return spec.shape == Shape::service ? seconds(100'000)
-                                          : Micros{spec.estimate.count() * (8 + task.index % 5) / 10};
+             : plan_.long_tasks && spec.tasks <= 3
+                 ? Micros{spec.estimate.count() * (1 + task.index % 3) / 3}  // they end far apart
+                 : Micros{spec.estimate.count() * (8 + task.index % 5) / 10};
     };
     it->second.worker = std::make_unique<Worker>(it->second, *cloud_.type(it->second.type), settings_,
                                                  std::move(hooks), now_);
@@ -310,6 +333,9 @@
     if (m.worker->wants_report(now_)) report(m);
   }
   checker_.look(now_);
+  for (const Team& team : settings_.teams)
+    if (!(checker_.used(team.name) + Quota{2000, 0}).fits_in(team.limit)) ++seen_["a team at its limit"];
+  meet_ends();
   after(millis(100), [this] { machines_step(); });
 }
 
@@ -325,12 +351,24 @@
     Worker& w = *it->second.worker;
     if (w.reporting() && w.report_number == number && !w.hanging) f(w);
   };
-  copy_later([this, body] {
+  auto copy = [this, body] {
     Node& any = *nodes_[static_cast<std::size_t>(pick(3))];
     auto copy = wire::report(body);
     const std::uint64_t request = any.next_request++;
     on_node(any, any.life, [request, copy](Controller& c) { c.on_report(request, std::get<Report>(copy)); });
-  });
+  };
+  copy_later(copy);
+  if (now_ < reports_late_until_ && chance() < 0.4) {
+    ++seen_["copies of reports"];
+    after(seconds(2) + Micros{static_cast<std::int64_t>(static_cast<double>(settings_.worker_lease.count()) *
+                                                        1.6 * chance())},
+          copy);
+  }
+  if (worker.mute) {
+    ++seen_["reports that reached nobody"];
+    return after(millis(500),
+                 [this, with_worker] { with_worker([this](Worker& w) { w.report_failed(now_); }); });
+  }
   after(seconds(4), [this, with_worker] { with_worker([this](Worker& w) { w.report_failed(now_); }); });
   for (auto& node : nodes_) {
     if (node->host != host) continue;
@@ -339,6 +377,11 @@
       const std::uint64_t request = node->next_request++;
       node->workers[request] = [this, node, name, with_worker](const ReportReply& reply) {
         ReportReply sent = sabotaged(reply);
+        if (plan_.sabotage == Sabotage::start_cancelled)
+          for (const Order& o : reply.orders)
+            if (o.kind == Order::Kind::stop)
+              sent.orders.push_back({Order::Kind::start, o.task, o.attempt + 1'000'000, {}});
+        count_starts(sent.orders);
         if (plan_.sabotage == Sabotage::start_twice || plan_.sabotage == Sabotage::start_anywhere)
           for (const Order& o : reply.orders) {
             if (o.kind != Order::Kind::start) continue;
@@ -388,8 +431,12 @@
       s.estimate = seconds(4 + chance() * 10);
       s.spot = chance() < 0.5;
       s.deadline = seconds(120);
+      if (plan_.long_tasks) {
+        s.tasks = 2 + static_cast<std::uint32_t>(pick(chance() < 0.7 ? 2 : 8));
+        s.estimate = seconds(30 + chance() * 50);
+      }
       if (chance() < 0.3) s.checkpoint = seconds(2), s.save = seconds(1);
-      const double kind = chance();
+      const double kind = chance() * (plan_.zone_bound ? 0.4 : 1);
       if (kind < 0.12)
         s.one_zone = true;
       else if (kind < 0.24)
@@ -424,11 +471,12 @@
 }
 
 void Day::submit(User& user, Micros since) {
+  const Micros asked = now_;
   ask([spec = user.spec](Controller& c, std::uint64_t r) { c.on_submit(r, spec); },
-      [this, &user, since](const UserReply* reply) {
+      [this, &user, since, asked](const UserReply* reply) {
         if (reply != nullptr && (reply->status == 200 || reply->status == 201)) {
           checker_.accepted(user.spec.id, now_);
-          checker_.told(user.spec.id, reply->status, reply->phase, now_, now_);
+          checker_.told(user.spec.id, reply->status, reply->phase, asked, now_);
           user.accepted = true;
           after(seconds(4 + chance()), [this, &user] { poll(user); });
           if (user.cancel_at) at(std::max(now_, *user.cancel_at), [this, &user] { cancel(user); });
@@ -462,12 +510,15 @@
 }
 
 void Day::cancel(User& user) {
+  user.cancelling = true;
   checker_.asked_to_cancel(user.spec.id);
   const Micros asked = now_;
   ask([id = user.spec.id](Controller& c, std::uint64_t r) { c.on_cancel(r, id); },
       [this, &user, asked](const UserReply* reply) {
         if (reply != nullptr && reply->status == 200) {
           checker_.told(user.spec.id, 200, reply->phase, asked, now_);
+          if (!refused_hosts_.empty()) ++seen_["cancelled while one is refused"];
+          if (!cuts_.empty()) ++seen_["cancelled during a cut"];
           user.last = reply->phase;
           user.over = true;
         } else {
@@ -487,6 +538,21 @@
         checker_.told(id, status, JobPhase::pending, now_, now_);
       });
   after(seconds(11), [this] { ask_about_nothing(); });
+  if (!plan_.odd_requests) return;
+  JobSpec unfit = users_.front()->spec;
+  unfit.id = "run-8";
+  if (chance() < 0.5)
+    unfit.team = "nobody";
+  else
+    unfit.types = {"nothing"};
+  checker_.unfit(unfit.id);
+  ask([unfit](Controller& c, std::uint64_t r) { c.on_submit(r, unfit); },
+      [this, id = unfit.id](const UserReply* reply) {
+        const bool accepted =
+            plan_.sabotage == Sabotage::accept_unfit && reply != nullptr && reply->status == 422;
+        if (reply != nullptr)
+          checker_.told(id, accepted ? 201 : reply->status, JobPhase::pending, now_, now_);
+      });
 }
 
 // ---- troubles ------------------------------------------------------------------------------------
@@ -508,6 +574,7 @@
     if (m.worker) {
       m.worker->sick = m.worker->hanging = false;
       if (!plan_.deaf_for_good) m.worker->deaf = false;
+      m.worker->mute = false;
     }
   // The last of the troubles that are under way ends within this.
   after(seconds(35), [this] { checker_.calm(now_); });
@@ -515,21 +582,115 @@
 
 void Day::trouble() {
   if (now_ > plan_.trouble_until) return calm();
-  const int kinds = static_cast<int>(plan_.wide ? Trouble::count : Trouble::controller_freezes);
+  // Drawn from the kinds that there were when days were found that are kept as tests.
+  const int kinds = static_cast<int>(plan_.wide ? Trouble::late_transactions : Trouble::controller_freezes);
   start(plan_.only.empty() ? static_cast<Trouble>(pick(kinds))
                            : plan_.only[static_cast<std::size_t>(pick(static_cast<int>(plan_.only.size())))]);
   after(seconds(1 + chance() * 14), [this] { trouble(); });
 }
 
-void Day::start(Trouble kind) {
-  Node& node = *nodes_[static_cast<std::size_t>(pick(3))];
-  const bool hold = chance() < 0.5;
-  const Micros span = seconds(3 + chance() * 30);
-  const std::string victim = a_machine();
-  auto with_victim = [this, victim](const std::function<void(Cloud::Machine&)>& f) {
-    if (auto it = cloud_.machines().find(victim); it != cloud_.machines().end() && it->second.worker)
-      f(it->second);
+void Day::start(Trouble kind) { strike(kind, nullptr); }
+
+Day::Node& Day::leader() {
+  auto machines = [](const std::unique_ptr<Node>& n) {
+    std::size_t all = 0;
+    if (n->core)
+      for (const auto& [name, part] : n->core->cluster().parts) all += part.machines.size();
+    return all;
+  };
+  return **std::max_element(nodes_.begin(), nodes_.end(),
+                            [&](const auto& a, const auto& b) { return machines(a) < machines(b); });
+}
+
+std::vector<std::string> Day::busiest_machines(int count) {
+  std::vector<std::pair<std::size_t, std::string>> all;
+  for (auto& [name, m] : cloud_.machines())
+    if (m.worker && !m.dead) all.emplace_back(m.worker->busy(), name);
+  std::sort(all.rbegin(), all.rend());
+  std::vector<std::string> out;
+  for (const auto& [tasks, name] : all)
+    if (static_cast<int>(out.size()) < count) out.push_back(name);
+  return out;
+}
+
+/// Within a fifth of a second, as the users of jobs with long to go would.
+void Day::cancel_some(int count, Micros machines_hang) {
+  for (const std::string& name : busiest_machines(machines_hang > Micros{0} ? count : 0)) {
+    cloud_.machines().at(name).worker->hanging = true;
+    ++seen_["machines hang at cancellations"];
+    after(machines_hang, [this, name] {
+      if (auto it = cloud_.machines().find(name); it != cloud_.machines().end() && it->second.worker)
+        it->second.worker->hanging = false;
+    });
+  }
+  for (auto& user : users_) {
+    if (count <= 0) return;
+    if (!user->accepted || user->over || user->cancelling || !checker_.runs(user->spec.id)) continue;
+    --count;
+    ++seen_["cancelled at one moment"];
+    after(millis(pick(200)), [this, u = user.get()] { cancel(*u); });
+  }
+}
+
+/// As the last task of a job ends, its user cancels it, asks, and submits it again, at random.
+void Day::meet_ends() {
+  if (now_ >= ends_met_until_) return;
+  for (auto& user : users_) {
+    if (!user->accepted || user->end_met || user->over ||
+        checker_.completed(user->spec.id) < user->spec.tasks)
+      continue;
+    user->end_met = true;
+    ++seen_["ends met"];
+    after(millis(pick(700)), [this, u = user.get()] {
+      if (!u->cancelling && chance() < 0.5) cancel(*u);
+    });
+    after(millis(pick(700)), [this, u = user.get()] { submit(*u, now_); });
+  }
+}
+
+/// Once the troubles are over: a job that waits while a machine that fits has room, and its team is under its
+/// limit.
+void Day::look_for_neglect() {
+  after(seconds(1), [this] { look_for_neglect(); });
+  if (!checker_.calm()) return;
+  for (const auto& user : users_) {
+    const JobSpec& s = user->spec;
+    bool could = false;
+    if (user->accepted && checker_.waits(s.id) &&
+        (checker_.used(s.team) + quota_of(s.each)).fits_in(settings_.team(s.team)->limit)) {
+      const std::vector<std::string> zones = checker_.zones_of(s.id);
+      for (const auto& [name, m] : cloud_.machines()) {
+        if (!m.worker || m.dead || !m.worker->well() || (m.spot && !s.spot) || !s.allows_type(m.type) ||
+            (s.zone && *s.zone != m.zone) || !s.each.fits_in(m.worker->free()))
+          continue;
+        const auto here = static_cast<std::size_t>(std::count(zones.begin(), zones.end(), m.zone));
+        if ((s.one_zone && here < zones.size()) || (s.spread && here >= (s.tasks + 1) / 2)) continue;
+        could = true;
+      }
+    }
+    checker_.could_run(s.id, could, now_);
+  }
+}
+
+void Day::strike(Trouble kind, const Strike* planned) {
+  Node& node = planned == nullptr         ? *nodes_[static_cast<std::size_t>(pick(3))]
+               : planned->node == kLeader ? leader()
+                                          : *nodes_[static_cast<std::size_t>(planned->node)];
+  const bool hold = planned == nullptr ? chance() < 0.5 : planned->hold;
+  const Micros span = planned == nullptr ? seconds(3 + chance() * 30) : planned->span;
+  const std::vector<std::string> victims =
+      planned == nullptr ? std::vector<std::string>{a_machine()} : busiest_machines(planned->count);
+  const std::string victim = victims.empty() ? "" : victims.front();
+  // Drawn days last as long as each kind always did.
+  auto lasts = [&](double least, double more) {
+    return planned == nullptr ? seconds(least + chance() * more) : span;
   };
+  auto with_victim = [this, victims](const std::function<void(Cloud::Machine&)>& f) {
+    for (const std::string& name : victims)
+      if (auto it = cloud_.machines().find(name); it != cloud_.machines().end() && it->second.worker)
+        f(it->second);
+  };
+  if (planned != nullptr) ++seen_["strikes"];
   auto cut_workers = [&](const Node& n, const std::string& zone) {
     for (auto& [name, m] : cloud_.machines())
       if (m.worker && !m.dead && (zone.empty() || m.zone == zone)) cut(n.host, name, hold, span);
@@ -539,7 +700,10 @@
       if (other->host != n.host) cut(n.host, other->host, hold, span);
   };
   // Back within a fraction of a second, or after a while.
-  auto back_in = [&] { return seconds(chance() < 0.4 ? 0.02 + chance() * 0.3 : 0.5 + chance() * 6); };
+  auto back_in = [&] {
+    if (planned != nullptr) return span;
+    return seconds(chance() < 0.4 ? 0.02 + chance() * 0.3 : 0.5 + chance() * 6);
+  };
   if (plan_.verbose)
     std::printf("%9.3f ---- trouble %d at %s or %s for %.1f s\n", in_seconds(now_), static_cast<int>(kind),
                 node.host.c_str(), victim.c_str(), in_seconds(span));
@@ -560,26 +724,39 @@
       return cut_peers(node);
     case Trouble::state_outage:
       state_.outage(true, now_);
-      return after(seconds(2 + chance() * 16), [this] { state_.outage(false, now_); });
+      state_out_ = true;
+      return after(lasts(2, 16), [this] {
+        state_.outage(false, now_);
+        state_out_ = false;
+      });
     case Trouble::state_slow:
       state_slowness_ = 30;
       return after(span, [this] { state_slowness_ = 1; });
     case Trouble::state_flicker:
-      for (auto& n : nodes_) cut(n->host, kState, hold, seconds(1 + chance() * 4));
+      for (auto& n : nodes_) cut(n->host, kState, hold, lasts(1, 4));
       return;
     case Trouble::machine_dies:
-      return with_victim([this](Cloud::Machine& m) { cloud_.die(m); });
+      return with_victim([this](Cloud::Machine& m) {
+        for (const auto& [id, spec] : specs_)
+          if (spec.zone && checker_.runs(id, m.name)) ++seen_["zone-bound tasks lost"];
+        cloud_.die(m);
+      });
     case Trouble::machine_hangs:
       with_victim([](Cloud::Machine& m) { m.worker->hanging = true; });
-      return after(seconds(2 + chance() * 11),
+      return after(lasts(2, 11),
                    [with_victim] { with_victim([](Cloud::Machine& m) { m.worker->hanging = false; }); });
     case Trouble::machine_sick:
       return with_victim([](Cloud::Machine& m) { m.worker->sick = true; });
     case Trouble::machine_cut:
-      for (auto& n : nodes_) cut(n->host, victim, hold, span);
+      for (auto& n : nodes_)
+        for (const std::string& name : victims) cut(n->host, name, hold, span);
       return;
     case Trouble::machine_deaf:
-      return with_victim([](Cloud::Machine& m) { m.worker->deaf = true; });
+      with_victim([](Cloud::Machine& m) { m.worker->deaf = true; });
+      // A drawn one stays so until all is calm.
+      if (planned != nullptr)
+        after(span, [with_victim] { with_victim([](Cloud::Machine& m) { m.worker->deaf = false; }); });
+      return;
     case Trouble::machine_restarts:
       return with_victim([this](Cloud::Machine& m) { m.worker->restart(now_); });
     case Trouble::cloud_outage:
@@ -592,7 +769,7 @@
       for (auto& n : nodes_) cut_peers(*n);
       return;
     case Trouble::controller_freezes:
-      node.freezes_for = seconds(0.2 + chance() * chance() * 30);
+      node.freezes_for = planned != nullptr ? span : seconds(0.2 + chance() * chance() * 30);
       return;
     case Trouble::state_refuses:
       refused_hosts_.insert(node.host);
@@ -611,11 +788,25 @@
       return;
     case Trouble::machine_hangs_on:
       with_victim([](Cloud::Machine& m) { m.worker->hanging = true; });
-      return after(seconds(4 + chance() * 30),
+      return after(lasts(4, 30),
                    [with_victim] { with_victim([](Cloud::Machine& m) { m.worker->hanging = false; }); });
     case Trouble::machines_boot_badly:
       boots_badly_until_ = now_ + span;
       return;
+    case Trouble::late_transactions:
+      transactions_late_until_ = now_ + span;
+      return;
+    case Trouble::late_reports:
+      reports_late_until_ = now_ + span;
+      return;
+    case Trouble::machines_mute:
+      with_victim([](Cloud::Machine& m) { m.worker->mute = true; });
+      return after(span, [with_victim] { with_victim([](Cloud::Machine& m) { m.worker->mute = false; }); });
+    case Trouble::cancel_now:
+      return cancel_some(planned == nullptr ? 4 : planned->count, span);
+    case Trouble::meet_ends:
+      ends_met_until_ = now_ + span;
+      return;
     case Trouble::count:
       return;
   }
@@ -632,7 +823,12 @@
     });
   after(millis(100), [this] { machines_step(); });
   after(seconds(9), [this] { ask_about_nothing(); });
-  if (plan_.troubles)
+  after(seconds(1), [this] { look_for_neglect(); });
+  for (const Strike& planned : plan_.strikes)
+    at(planned.at, [this, &planned] { strike(planned.kind, &planned); });
+  if (!plan_.strikes.empty())
+    at(plan_.trouble_until, [this] { calm(); });
+  else if (plan_.troubles)
     at(plan_.trouble_from, [this] { trouble(); });
   else
     checker_.calm(now_);
@@ -672,7 +868,7 @@
   for (const auto& user : users_) {
     if (!user->accepted) {
       out.push_back(user->spec.id + " was not accepted");
-    } else if (user->spec.shape == Shape::service && !user->cancel_at) {
+    } else if (user->spec.shape == Shape::service && !user->cancel_at && !user->cancelling) {
       if (!checker_.runs(user->spec.id)) out.push_back(user->spec.id + " does not run");
     } else if (!user->over) {
       out.push_back(user->spec.id + " is not over");
--- a/tests/sim/day.h
+++ b/tests/sim/day.h
@@ -21,7 +21,9 @@
   start_nothing,     ///< start orders are lost
   starve_team,       ///< start orders for one team's jobs are lost
   starve_large,      ///< start orders for large jobs are lost
-  ignore_one         ///< polls for one job get no answer
+  ignore_one,        ///< polls for one job get no answer
+  start_cancelled,   ///< where a task is told to stop, it is started once more
+  accept_unfit       ///< submissions that can never run are called accepted
 };
 
 /// Kinds of trouble; those of a day are drawn from all, or it has one kind only.
@@ -49,9 +51,25 @@
   zone_cut,             ///< from everything
   machine_hangs_on,     ///< for less or for more than its lease
   machines_boot_badly,  ///< late or never, for a while
+  late_transactions,    ///< a share gets no answer, and is carried out 2 to 12 s later, after newer ones
+  late_reports,         ///< copies of a share arrive from 2 s to well over a lease later
+  machines_mute,        ///< they reach no controller, while orders reach them
+  cancel_now,           ///< users call off jobs that run, all at once; their machines hang meanwhile
+  meet_ends,            ///< users cancel, ask and submit again as the last task of their job ends
   count
 };
 
+/// A trouble at a set moment. The rest of a day's are drawn.
+struct Strike {
+  Micros at{0};
+  Trouble kind = Trouble::crash;
+  Micros span = seconds(10);  ///< how long it lasts; for a crash, until the process is back
+  int node = 0;       ///< of the kinds that strike one controller; kLeader: the one with most machines
+  int count = 1;      ///< machines with most tasks, or jobs
+  bool hold = false;  ///< a cut holds what is sent back and delivers it at its end
+};
+constexpr int kLeader = -1;
+
 struct DayPlan {
   std::uint64_t seed = 1;
   bool troubles = true;
@@ -60,8 +78,13 @@
   Micros trouble_until = seconds(150);
   Micros end = seconds(330);
   int jobs = 24;
-  bool rush = false;          ///< all jobs come at once
-  std::vector<Trouble> only;  ///< the kinds that it has; none: all
+  bool rush = false;            ///< all jobs come at once
+  std::vector<Trouble> only;    ///< the kinds that it has; none: all
+  std::vector<Strike> strikes;  ///< if there are any, they are all that happens
+  bool zone_bound = false;      ///< every array has a rule of zones
+  bool long_tasks = false;      ///< of a minute or two, in arrays of a few tasks and more
+  bool odd_requests = false;    ///< users submit what can never run
+  bool tight_limits = false;    ///< teams are at their limit for most of the day
   /// All kinds, a controller in each zone, and late copies of calls to the state service; without, as days
   /// were before there was any of this.
   bool wide = true;
@@ -89,6 +112,11 @@
   std::size_t deaf_machines();
   /// The most tasks that failed on one machine.
   std::size_t most_failures() const { return most_failures_; }
+  /// How often something happened that a meeting is about, by name.
+  std::size_t seen(const std::string& what) const {
+    auto it = seen_.find(what);
+    return it == seen_.end() ? 0 : it->second;
+  }
   /// How often a part's sums differed from what they stand for.
   std::size_t wrong_sums() const { return wrong_sums_; }
 
@@ -113,6 +141,8 @@
     std::optional<Micros> cancel_at;
     bool accepted = false;
     bool over = false;
+    bool cancelling = false;
+    bool end_met = false;
     std::optional<JobPhase> last;
   };
 
@@ -138,6 +168,7 @@
   Micros steady(const Node& node) const;        ///< its own clock
   void finish(Node& node, std::uint64_t life);  ///< performs what the last event led to
   void perform(Node& node, Action action);
+  void count_starts(const std::vector<Order>& orders);
   void tick(Node& node, std::uint64_t life);
   /// A call over the network with an answer or a time-out.
   template <class Answer>
@@ -160,6 +191,12 @@
   void ask_about_nothing();
   void trouble();
   void start(Trouble kind);
+  void strike(Trouble kind, const Strike* planned);
+  Node& leader();
+  std::vector<std::string> busiest_machines(int count);
+  void cancel_some(int count, Micros machines_hang);
+  void meet_ends();
+  void look_for_neglect();
   void calm();
   /// Some messages come a second time, much later, whatever has become of both ends.
   void copy_later(std::function<void()> deliver);
@@ -185,6 +222,11 @@
   double state_slowness_ = 1;
   std::set<std::string> refused_hosts_;  ///< by the state service
   Micros boots_badly_until_{0};
+  Micros transactions_late_until_{0};
+  Micros reports_late_until_{0};
+  Micros ends_met_until_{0};
+  bool state_out_ = false;
+  std::map<std::string, std::size_t> seen_;
   std::size_t most_failures_ = 0;
   std::size_t wrong_sums_ = 0;
   std::uint64_t lives_ = 0;
--- a/tests/sim/services.cpp
+++ b/tests/sim/services.cpp
@@ -220,6 +220,18 @@
     hooks_.checker->off(key.first, machine_.name);
 }
 
+Resources Worker::free() const {
+  Resources left = type_.size;
+  for (const auto& [key, held] : tasks_)
+    if (held.phase != TaskPhase::exited) left -= hooks_.job(key.first.job)->each;
+  return left;
+}
+
+std::size_t Worker::busy() const {
+  return static_cast<std::size_t>(std::count_if(
+      tasks_.begin(), tasks_.end(), [](const auto& t) { return t.second.phase != TaskPhase::exited; }));
+}
+
 void Worker::stop() {
   for (const auto& [key, held] : tasks_) leave(key, held);
   tasks_.clear();
--- a/tests/sim/services.h
+++ b/tests/sim/services.h
@@ -108,6 +108,10 @@
   std::string report(Micros now);
   void report_answered(int status, const std::string& body, Micros now);
   bool reporting() const { return reporting_; }
+  /// What is left beside the tasks that it holds, and how many these are.
+  Resources free() const;
+  std::size_t busy() const;
+  bool well() const { return !hanging && !sick && !deaf && !mute; }
   void report_failed(Micros now);
   Response orders(const std::string& body, Micros now);
   void stop();
@@ -120,6 +124,7 @@
   bool hanging = false;
   bool sick = false;
   bool deaf = false;  ///< nothing reaches it
+  bool mute = false;  ///< it reaches no controller
   std::uint64_t report_number = 0;
   std::size_t failures = 0;  ///< tasks that failed here
 
