--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -267,8 +267,12 @@
   if (path == kWork) {
     if (!post) co_return error(405, "POST only");
     auto spec = wire::job_spec(request.body);
-    if (auto* why = std::get_if<std::string>(&spec)) co_return error(400, *why);
-    Event event = [&](std::uint64_t id) { core_.on_submit(id, std::get<JobSpec>(spec)); };
+    const auto* why = std::get_if<std::string>(&spec);
+    const std::string known = why == nullptr ? "" : wire::job_id_in(request.body);
+    if (why != nullptr && known.empty()) co_return error(400, *why);
+    Event event = [&](std::uint64_t id) {
+      why == nullptr ? core_.on_submit(id, std::get<JobSpec>(spec)) : core_.on_malformed(id, known, *why);
+    };
     co_return co_await ask(std::move(event), kAnswerWithin);
   }
   if (path.starts_with(std::string(kWork) + "/")) {
--- a/src/codec/codec.cpp
+++ b/src/codec/codec.cpp
@@ -212,7 +212,7 @@
 void describe(A& a, M& m) { a.fields(m.from, m.to, m.team, m.want, m.waits_since); }
 template <class A, class M>
 requires std::is_same_v<std::remove_const_t<M>, Ended>
-void describe(A& a, M& m) { a.fields(m.part, m.job); }
+void describe(A& a, M& m) { a.field(m.job); }
 
 template <std::size_t I = 0>
 bool read_message(std::uint64_t kind, Reader& reader, PeerMessage& out) {
--- a/src/core/calls.h
+++ b/src/core/calls.h
@@ -180,10 +180,9 @@
 struct Awarded {
   std::string part;
 };
-/// The last write of a job is made: nothing of it that was awarded to the part may run. This alone is acted
-/// on without a read, as it can only stop what is over.
+/// The last write of a job is made: nothing of it may run, wherever it was awarded to. Said to every
+/// controller, as parts change hands. This alone is acted on without a read: it can only stop what is over.
 struct Ended {
-  std::string part;
   std::string job;
 };
 struct Progress {
@@ -192,8 +191,8 @@
 struct HandBack {
   std::string part;
 };
-/// Said to every peer now and then: whether the state service answers the sender, and how many reports it got
-/// lately from machines that the receiver holds.
+/// Said to every controller now and then: whether the state service answers the sender, and how many reports
+/// it got lately from machines that the receiver holds.
 struct Wellbeing {
   bool state_answers = false;
   std::uint32_t your_reports = 0;
--- a/src/core/contract.cpp
+++ b/src/core/contract.cpp
@@ -456,11 +456,10 @@
 }
 
 void ContractNet::on_ended(const Ended& ended) {
-  Part* part = cluster_.ready(ended.part);
-  if (part == nullptr) return;
-  part->next_awards = Micros{0};
-  auto it = part->jobs.find(ended.job);
-  if (it != part->jobs.end() && !it->second.owner.empty()) part->end(it->second);
+  for (auto& [name, part] : cluster_.parts) {
+    auto it = part.jobs.find(ended.job);
+    if (it != part.jobs.end() && !it->second.owner.empty()) part.end(it->second);
+  }
 }
 
 void ContractNet::read_room(Part& part) {
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -20,6 +20,9 @@
   void tick();
 
   void on_submit(std::uint64_t request, const JobSpec& spec) { jobs_.on_submit(request, spec); }
+  void on_malformed(std::uint64_t request, const std::string& id, const std::string& why) {
+    jobs_.on_malformed(request, id, why);
+  }
   void on_poll(std::uint64_t request, const std::string& id) { jobs_.on_poll(request, id); }
   void on_cancel(std::uint64_t request, const std::string& id) { jobs_.on_cancel(request, id); }
   void on_report(std::uint64_t request, const Report& report) { fleet_.on_report(request, report); }
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -221,13 +221,7 @@
     return ask(peers(), {0, JobQuery::Kind::submit, id, false, spec}, kPassOnWithin, std::move(told));
   }
   if (impossible(spec)) {
-    // It may have been accepted before, under other settings: then it stays accepted.
-    return read_and_tell(
-        id,
-        [told, id, why = impossible(spec)](const UserReply& reply) {
-          told(reply.status == 404 ? UserReply{422, id, {}, 0, 0, 0, *why} : reply);
-        },
-        may_pass_on);
+    return refuse(id, {422, id, {}, 0, 0, 0, *impossible(spec)}, std::move(told), may_pass_on);
   }
   if (auto it = being_written_.find(id); it != being_written_.end()) {
     it->second.push_back(std::move(told));
@@ -246,6 +240,26 @@
   write_accepted(*cluster_.ready(cluster_.self()));
 }
 
+void Jobs::on_malformed(std::uint64_t request, const std::string& id, const std::string& why) {
+  if (auto known = from_memory(id)) return to_user(request)(known_reply(id, *known));
+  refuse(id, {400, id, {}, 0, 0, 0, why}, to_user(request), true);
+}
+
+/// A job that was accepted before, perhaps under other settings or with another body, stays accepted: only
+/// one that is not known is refused.
+void Jobs::refuse(const std::string& id, UserReply refusal, Told told, bool may_pass_on) {
+  const bool under_way =
+      being_written_.contains(id) || std::any_of(accepting_.begin(), accepting_.end(),
+                                                 [&](const Accepting& a) { return a.record.spec.id == id; });
+  if (under_way) return told(unsure(id));
+  read_and_tell(
+      id,
+      [told = std::move(told), refusal = std::move(refusal)](const UserReply& reply) {
+        told(reply.status == 404 ? refusal : reply);
+      },
+      may_pass_on);
+}
+
 /// All submissions that have gathered while a write was under way go with the next one.
 void Jobs::write_accepted(Part& part) {
   const std::size_t most = std::max<std::size_t>(1, cluster_.context.settings.state_transaction_writes / 2);
@@ -384,8 +398,8 @@
         known.done = j.done;
         j.finalizing = false;
         p->end(j);
-        for (const auto& [key, winner] : j.awards)
-          cluster_.context.act(PeerSend{cluster_.holder(winner), Ended{winner, id}});
+        if (!j.awards.empty())
+          for (const auto& [host, route] : cluster_.routes) cluster_.context.act(PeerSend{host, Ended{id}});
         settle(*p);
       }
       remember(id, known);
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -17,6 +17,8 @@
 
   void tick();
   void on_submit(std::uint64_t request, const JobSpec& spec);
+  /// A submission that can't be read, but for the job's id.
+  void on_malformed(std::uint64_t request, const std::string& id, const std::string& why);
   void on_poll(std::uint64_t request, const std::string& id);
   void on_cancel(std::uint64_t request, const std::string& id);
   void on_query(const std::string& from_host, const JobQuery& query);
@@ -69,6 +71,7 @@
   /// The reason why a job can never run here, if it can't.
   std::optional<std::string> impossible(const JobSpec& spec) const;
 
+  void refuse(const std::string& id, UserReply refusal, Told told, bool may_pass_on);
   void write_accepted(Part& part);
   void on_accepted(const std::string& part, std::uint64_t generation, Batch batch, const StateAnswer& a);
   void finalize(Part& part, Job& job, JobPhase phase, Told told);
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -261,6 +261,19 @@
   });
 }
 
+std::string job_id_in(std::string_view body) {
+  const auto read = reading<JobSpec>([&] {
+    const json v = parse(body);
+    object(v);
+    JobSpec s;
+    s.id = name(v, kUid);
+    if (!is_job_id(s.id)) fail(kUid, "not a job id");
+    return s;
+  });
+  const auto* spec = std::get_if<JobSpec>(&read);
+  return spec == nullptr ? std::string{} : spec->id;
+}
+
 std::string body_of(const JobSpec& s) {
   auto units = [](std::int64_t n) { return static_cast<double>(n) / 1000.0; };
   json v = {{kUid, s.id},
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -22,6 +22,8 @@
 // ---- requests that reach us ----------------------------------------------------------------------
 bool is_job_id(std::string_view id);
 Parsed<JobSpec> job_spec(std::string_view body);
+/// The id in a submission that may lack anything else; empty if there is none.
+std::string job_id_in(std::string_view body);
 Parsed<Report> report(std::string_view body);
 
 std::string body_of(const UserReply& reply);
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -30,7 +30,7 @@
           Progress{"node-0"},
           HandBack{"node-2"},
           Lend{"a", "b", "team", {1, 2}, seconds(3)},
-          Ended{"node-1", "run-1"},
+          Ended{"run-1"},
           Scarce{"large", "east", true},
           Wellbeing{true, 3},
           Resign{"node-1",
--- a/tests/sim/day.cpp
+++ b/tests/sim/day.cpp
@@ -539,6 +539,15 @@
       });
   after(seconds(11), [this] { ask_about_nothing(); });
   if (!plan_.odd_requests) return;
+  // A repeat is known by its id alone, whatever else it says.
+  User& again = *users_[static_cast<std::size_t>(pick(static_cast<int>(users_.size())))];
+  if (again.accepted) {
+    const Micros asked = now_;
+    ask([id = again.spec.id](Controller& c, std::uint64_t r) { c.on_malformed(r, id, "crew: missing"); },
+        [this, &again, asked](const UserReply* reply) {
+          if (reply != nullptr) checker_.told(again.spec.id, reply->status, reply->phase, asked, now_);
+        });
+  }
   JobSpec unfit = users_.front()->spec;
   unfit.id = "run-8";
   if (chance() < 0.5)
@@ -738,7 +747,7 @@
     case Trouble::machine_dies:
       return with_victim([this](Cloud::Machine& m) {
         for (const auto& [id, spec] : specs_)
-          if (spec.zone && checker_.runs(id, m.name)) ++seen_["zone-bound tasks lost"];
+          if ((spec.zone || spec.one_zone) && checker_.runs(id, m.name)) ++seen_["zone-bound tasks lost"];
         cloud_.die(m);
       });
     case Trouble::machine_hangs:
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -25,6 +25,15 @@
   EXPECT_EQ(std::get<JobSpec>(job_spec(body_of(*s))), *s);
 }
 
+TEST(JobSpecs, BadOnesMayStillNameTheirJob) {
+  json v = good_job();
+  v.erase("crew");
+  EXPECT_EQ(job_id_in(v.dump()), "run-12");
+  EXPECT_EQ(job_id_in(R"({"uid":"job-12"})"), "");
+  EXPECT_EQ(job_id_in("[]"), "");
+  EXPECT_EQ(job_id_in(R"({"uid":"run-12")"), "");
+}
+
 struct BadField {
   const char* field;
   json value;
