--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -83,6 +83,45 @@
   }
 }
 
+// The inequality of docs/DESIGN.md: at every deployment known, and at the borders of what is taken at the
+// start.
+TEST(Config, CancelledTasksAreGoneInTimeOrTheSettingsAreRefused) {
+  struct Case {
+    double report, lease, cancel;
+    bool taken;
+  };
+  for (const Case& c : std::vector<Case>{{1.5, 12, 42, true},
+                                         {3, 20, 40, true},
+                                         {4, 20, 40, true},
+                                         {4, 22, 52, true},
+                                         {5, 26.5, 46.5, true},
+                                         {1, 10, 12.1, true},
+                                         {1, 10, 12, false},
+                                         {1, 100, 102.1, false},
+                                         {1, 100, 102.5, true},
+                                         {5, 600, 603, false},
+                                         {5, 600, 604, true},
+                                         {5, 600, 6000, true}}) {
+    std::string text = kGood;
+    auto set = [&](const std::string& from, const std::string& field, double value) {
+      text.replace(text.find(from), from.size(), field + " = " + std::to_string(value));
+    };
+    set("report_s = 1.5", "report_s", c.report);
+    set("lease_s = 12.0", "lease_s", c.lease);
+    set("cancel_s = 42.0", "cancel_s", c.cancel);
+    try {
+      const Settings s = parse_settings(text);
+      EXPECT_TRUE(c.taken) << c.lease << " " << c.cancel;
+      EXPECT_LE(s.cancelled_gone_within(), s.cancel_within) << c.lease << " " << c.cancel;
+      EXPECT_GE(s.cancelled_gone_within(), s.term() + s.worker_lease);
+      EXPECT_GE(s.term(), millis(100)) << "the least that the state service takes";
+    } catch (const ConfigError& e) {
+      EXPECT_FALSE(c.taken) << e.what();
+      EXPECT_TRUE(std::string(e.what()).starts_with("settings.workers.cancel_s")) << e.what();
+    }
+  }
+}
+
 TEST(Config, BadFilesAreRefusedWithTheField) {
   struct Case {
     const char* from;
