--- a/tests/meeting_test.cpp
+++ b/tests/meeting_test.cpp
@@ -1,7 +1,10 @@
-// Where troubles meet: each row brings one meeting about on purpose, and shows that it took place.
+// Where troubles meet: each row brings one meeting about on purpose, and shows that it took place. Below,
+// event by event, what one part believes of a machine and what it answers: the proofs on which the rules
+// rest.
 
 #include <gtest/gtest.h>
 
+#include "core/contract.h"
 #include "sim/day.h"
 
 namespace bendtide::sim {
@@ -204,5 +207,144 @@
              std::to_string(std::get<1>(info.param));
     });
 
+const TaskId kTask{"run-1", 0};
+
+/// A part taken a moment ago with token 10, whose one machine was in use by an earlier holder.
+struct TakenPart {
+  Context context{{}, {}, "life", std::mt19937_64(1), seconds(100), seconds(1'000'000), {}, {}};
+  Cluster cluster{context};
+  Fleet fleet{cluster, {[](Part&, Machine&) {}, [] {}}};
+  Part& part = cluster.parts["a"];
+
+  TakenPart() {
+    context.settings.host = "a";
+    context.settings.report_every = seconds(1.5);
+    context.settings.worker_lease = seconds(12);
+    context.settings.cancel_within = seconds(42);
+    context.settings.sockets = 100;
+    cluster.valid_until = seconds(10'000);
+    part.name = "a";
+    part.token = part.first_token = 10;
+    part.generation = 1;
+    part.taken_at = context.now;
+    const std::vector<records::ClaimedMachine> claimed{{"m", "small", "z", false, "m:1", {}}};
+    fleet.claims().load(part, {{records::claim_key("a", 0), records::to_json(claimed), 3}});
+    part.stage = Part::Stage::ready;
+    fleet.on_part_ready(part);
+    fleet.push_orders(part);
+  }
+  Job& add_job() {
+    records::LiveJob record;
+    record.part = "a";
+    record.spec.id = kTask.job;
+    record.spec.team = "t";
+    record.spec.tasks = 1;
+    record.spec.each = {1000, 0, 1};
+    return Jobs::load(part, record);
+  }
+  Machine& machine() { return part.machines.at("m"); }
+  Report report(std::uint64_t token, std::uint64_t session, std::uint64_t sequence, bool with_task) const {
+    Report r{"m", "m:1", "small", "z", false, session, sequence, token, {}, {}};
+    if (with_task) r.tasks = {{kTask, 7, TaskPhase::running, ExitCause::none}};
+    return r;
+  }
+  /// Does something at a moment; what it led to of one kind.
+  template <class Kind>
+  std::vector<Kind> at(double moment, const std::function<void()>& what) {
+    context.now = seconds(moment);
+    context.actions.clear();
+    what();
+    std::vector<Kind> out;
+    for (const Action& action : context.actions)
+      if (auto* a = std::get_if<Kind>(&action)) out.push_back(*a);
+    return out;
+  }
+  void orders_answered(double moment, std::uint64_t call, OrdersAnswer::Outcome outcome,
+                       const Report& report) {
+    at<LogLine>(moment, [&] {
+      fleet.on_orders_answer(call, {outcome, report});
+      fleet.push_orders(part);
+    });
+  }
+};
+
+// Each answer renews the lease. Holders that followed one another once kept a cancelled job's tasks alive, as
+// each had ended before the worker reported a second time.
+TEST(FirstAnswer, StopsWhatThePartDoesNotHave) {
+  TakenPart t;
+  const auto answers = t.at<AnswerWorker>(101, [&] { t.fleet.on_report(1, t.report(5, 1, 4, true)); });
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers[0].reply.status, 200);
+  ASSERT_EQ(answers[0].reply.orders.size(), 1u);
+  EXPECT_EQ(answers[0].reply.orders[0].kind, Order::Kind::stop);
+  EXPECT_EQ(answers[0].reply.orders[0].task, kTask);
+  EXPECT_EQ(answers[0].reply.orders[0].attempt, 7u);
+
+  TakenPart with_job;
+  with_job.add_job();
+  const auto kept =
+      with_job.at<AnswerWorker>(101, [&] { with_job.fleet.on_report(1, with_job.report(5, 1, 4, true)); });
+  ASSERT_EQ(kept.size(), 1u);
+  EXPECT_TRUE(kept[0].reply.orders.empty());
+}
+
+// A worker that reaches no controller begins a new session in which orders still reach it. Its tasks were
+// once given up, and started elsewhere, a lease after the part was taken, while they ran on for the rest of
+// theirs.
+TEST(MuteMachine, IsNotGivenUpBeforeTheLeaseOfItsSessionIsOver) {
+  TakenPart t;
+  Job& job = t.add_job();
+  t.orders_answered(108, 1, OrdersAnswer::Outcome::refused, t.report(10, 2, 1, false));
+  t.orders_answered(108, 2, OrdersAnswer::Outcome::executed, t.report(10, 2, 3, true));
+  ASSERT_EQ(job.tasks[0].state, Task::State::placed);
+  t.at<LogLine>(113, [&] { t.fleet.tick(); });
+  EXPECT_EQ(job.tasks[0].state, Task::State::placed) << "the session's lease goes on until 120 s";
+  t.at<LogLine>(121, [&] { t.fleet.tick(); });
+  EXPECT_EQ(job.tasks[0].state, Task::State::waiting);
+}
+
+// What a cut held back comes all at once, and is one sign of deafness. One that goes on without our token is
+// deaf.
+TEST(HeldReports, AreOneSignOfDeafness) {
+  TakenPart t;
+  t.at<LogLine>(111, [&] {
+    t.fleet.on_report(1, t.report(5, 1, 4, false));
+    t.fleet.on_report(2, t.report(5, 1, 5, false));
+    t.fleet.on_report(3, t.report(5, 1, 6, false));
+    t.fleet.tick();
+  });
+  EXPECT_FALSE(t.machine().condemned);
+  t.at<LogLine>(116, [&] {
+    t.fleet.on_report(4, t.report(5, 1, 7, false));
+    t.fleet.tick();
+  });
+  EXPECT_TRUE(t.machine().condemned);
+}
+
+// A holder whose term was renewed after an outage once started, and kept alive, what was awarded to it
+// before: the job had been cancelled meanwhile.
+TEST(AwardsInDoubt, AreNeitherStartedNorKeptAlive) {
+  TakenPart t;
+  Scheduler scheduler(t.cluster, t.fleet);
+  ContractNet net(t.cluster, scheduler, {[] {}});
+  Job& job = t.add_job();
+  t.part.awards_known(seconds(100), seconds(10));
+  EXPECT_TRUE(t.part.may_start(job, seconds(200))) << "our own";
+  job.owner = "b";
+  EXPECT_TRUE(t.part.may_start(job, seconds(109)));
+  EXPECT_FALSE(t.part.may_start(job, seconds(110)));
+
+  t.at<AnswerWorker>(105, [&] { t.fleet.on_report(1, t.report(10, 1, 4, true)); });
+  ASSERT_EQ(job.tasks[0].state, Task::State::placed);
+  for (const auto& [moment, stops] : {std::pair(109.0, 0u), std::pair(111.0, 1u)}) {
+    const auto answers = t.at<AnswerWorker>(moment, [&] {
+      net.stop_doubtful(t.part, t.machine());
+      t.fleet.on_report(2, t.report(10, 1, static_cast<std::uint64_t>(moment), true));
+    });
+    ASSERT_EQ(answers.size(), 1u);
+    EXPECT_EQ(answers[0].reply.orders.size(), stops) << moment;
+  }
+}
+
 }  // namespace
 }  // namespace bendtide::sim
