A machine is called deaf only by reports sent after ours could have reached it

Cause: a direct order lost in a cut counted as a sign of deafness by itself, and set the moment at which the machine was told its token; the reports that the same cut held then counted as two more. A machine that is well was deleted. Also found by reading: reports held together counted as not taking up a start, and a session that ended during the cut as one that ended though it was answered.

Now a sign comes only from a report sent after ours could have reached the worker, which sends nothing else for 4 s while it waits for an answer. A lost order is a sign once a second one is lost with a report after each; a machine with signs is asked at once.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -9,6 +9,9 @@
 constexpr int kCutLeases = 8;
 /// That many signs in a row show that nothing reaches a machine. One answer may always come too late.
 constexpr int kDeafSigns = 3;
+constexpr int kWeakSign = 1;    ///< one message seems not to have reached it
+constexpr int kStrongSign = 2;  ///< several can't have
+constexpr int kLostOrders = 2;  ///< with a report after each
 
 Placement::Seen seen_as(TaskPhase phase) {
   switch (phase) {
@@ -158,10 +161,9 @@
   if (report.session < m.session || (report.session == m.session && report.sequence <= m.reported_sequence))
     return answer(request, 503);
   m.last_reported = cluster_.now();
-  if (!believable(part, report) && m.told_at &&
-      m.last_reported - *m.told_at > cluster_.context.settings.report_pause()) {
-    // One sign for each pause: reports that a cut held back come all at once, from a machine that is well.
-    m.unheeded += 2;
+  note_lost_orders(part, m);
+  if (!believable(part, report) && m.told_at && was_sent_after(*m.told_at)) {
+    add_sign_of_deafness(part, m, kStrongSign);
     m.told_at = m.last_reported;
   }
   // Nothing reaches it, so an answer would renew nothing; but the proof by its lease would wait for one that
@@ -172,15 +174,18 @@
   ReportReply reply{200, part.token, {}, {}};
   if (believable(part, report) &&
       std::pair(report.session, report.sequence) > std::pair(m.session, m.sequence)) {
-    if (report.session > m.session && m.heard && !m.lost &&
-        cluster_.now() - answered_before < cluster_.context.settings.worker_lease * 3 / 4)
-      m.unheeded += 2;  // its lease ran out although we answered
+    const bool lease_ran_out = report.session > m.session && m.heard && !m.lost;
+    const Micros since_answer = cluster_.now() - answered_before;
+    if (lease_ran_out && was_sent_after(answered_before) &&
+        since_answer < cluster_.context.settings.worker_lease * 3 / 4)
+      add_sign_of_deafness(part, m, kStrongSign);
     apply(part, m, report, true);
     m.reported_sequence = report.sequence;
     hooks_.fill(part, m);
     reply.orders = orders(part, m, report.sequence);
     m.answered_in = report.sequence;
     m.answered_token = part.token;
+    m.orders_sent_at = cluster_.now();
   } else {
     reply.orders = strangers(part, report);
     if (!m.settled) {
@@ -191,6 +196,30 @@
   cluster_.context.act(AnswerWorker{request, std::move(reply)});
 }
 
+/// Whether a report that came just now can have been sent after what we sent at `ours` could have reached the
+/// worker. While it waits for an answer it sends no other report: one that comes sooner was held back on its
+/// way, or what we answered was. Such a report says nothing of what reaches the machine.
+bool Fleet::was_sent_after(Micros ours) const { return cluster_.now() - ours >= Settings::kWorkerPatience; }
+
+/// A cut may swallow one order and hold the reports that it is followed by. But the machine is sent another
+/// as soon as a report arrives: if that is lost too, and the machine reports again, nothing reaches it.
+void Fleet::note_lost_orders(Part& part, Machine& m) {
+  if (!std::exchange(m.order_lost, false)) return;
+  part.push_to(m);
+  if (++m.lost_orders >= kLostOrders) add_sign_of_deafness(part, m, kStrongSign);
+}
+
+void Fleet::clear_signs_of_deafness(Machine& m) {
+  m.unheeded = m.lost_orders = 0;
+  m.order_lost = false;
+}
+
+/// A machine with signs against it is asked directly: if it answers, they are void.
+void Fleet::add_sign_of_deafness(Part& part, Machine& m, int weight) {
+  m.unheeded += weight;
+  part.push_to(m);
+}
+
 /// Stops for the tasks of jobs that this part does not have: they are over. True of any account, however old,
 /// and said with every answer, as each renews the lease: holders that follow one another within seconds would
 /// else keep the tasks of a cancelled job alive.
@@ -242,7 +271,7 @@
   }
   for (const ReportedTask& t : report.tasks) note(part, m, t, report.sequence);
 
-  if (report.token > m.shown_token) m.unheeded = 0;  // it took up a token: something reaches it
+  if (report.token > m.shown_token) clear_signs_of_deafness(m);  // something reaches it
   bool asked = m.answered_in != 0 && m.answered_token > m.shown_token;
   bool heeded = report.token >= m.answered_token;
   m.shown_token = report.token;
@@ -266,9 +295,9 @@
   for (const AttemptId& id : off) release(part, m, id);
   if (is_report && asked) {
     if (heeded)
-      m.unheeded = 0;
-    else
-      ++m.unheeded;
+      clear_signs_of_deafness(m);
+    else if (was_sent_after(m.orders_sent_at))
+      add_sign_of_deafness(part, m, kWeakSign);
     m.answered_in = 0;
   }
   part.settle(m, true);
@@ -451,7 +480,7 @@
 
 /// Whether something should not wait for the machine's next report.
 bool Fleet::urgent(const Machine& m) const {
-  if (!m.settled) return true;
+  if (!m.settled || m.unheeded > 0 || m.lost_orders > 0) return true;
   return std::any_of(m.tasks.begin(), m.tasks.end(), [](const auto& t) {
     const Placement& p = t.second;
     if (p.wanted) return p.seen == Placement::Seen::no && p.offered_in == 0 && p.pinned_by == 0;
@@ -484,7 +513,7 @@
       continue;
     // Before all that is on it is known, it is only shown the token. Its first session is number 1.
     std::vector<Order> list = m.settled ? orders(part, m, 0) : std::vector<Order>{};
-    Direct call{part.name, part.generation, name, part.token, {}};
+    Direct call{part.name, part.generation, name, part.token, now, {}};
     for (const Order& o : list) {
       if (o.kind != Order::Kind::start) continue;
       AttemptId id{o.task, o.attempt};
@@ -535,7 +564,10 @@
       part->token_wanted = true;
     }
   }
-  if (answer.outcome == OrdersAnswer::Outcome::lost && m.settled) ++m.unheeded;
+  if (answer.outcome == OrdersAnswer::Outcome::lost) {
+    m.order_lost = m.settled;
+    if (m.told_at == direct.sent_at) m.told_at.reset();
+  }
   if (answer.report && answer.report->machine == m.name && answer.report->token <= part->token) {
     if (!m.settled && answer.outcome == OrdersAnswer::Outcome::refused) {
       // It is shown the token once more.
@@ -545,7 +577,7 @@
                    std::pair(m.session, m.sequence)) {
       apply(*part, m, *answer.report, false);
     }
-    if (answer.outcome == OrdersAnswer::Outcome::executed) m.unheeded = 0;
+    clear_signs_of_deafness(m);  // executed or refused, the order was read there
   }
   if (answer.outcome != OrdersAnswer::Outcome::lost && urgent(m)) part->push_to(m);
 }
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -48,6 +48,7 @@
     std::uint64_t generation;
     std::string machine;
     std::uint64_t token;
+    Micros sent_at;
     std::vector<AttemptId> starts;
   };
 
@@ -56,6 +57,10 @@
   void on_own_report(std::uint64_t request, Part& part, const Report& report);
   void apply(Part& part, Machine& m, const Report& report, bool is_report);
   bool believable(const Part& part, const Report& report) const;
+  bool was_sent_after(Micros ours) const;
+  void note_lost_orders(Part& part, Machine& m);
+  static void clear_signs_of_deafness(Machine& m);
+  void add_sign_of_deafness(Part& part, Machine& m, int weight);
   void note(Part& part, Machine& m, const ReportedTask& seen, std::uint64_t account);
   void ended(Part& part, Machine& m, const AttemptId& id, Placement& p, ExitCause cause);
   void failed(Part& part, Machine& m, Job& job);
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -139,13 +139,17 @@
   bool settled = false;                 ///< its tasks are all known: it was heard, or its lease ran out
   Micros last_heard{0};                 ///< steady clock
   Micros last_reported{0};              ///< when any report of it came, believed or not
-  std::optional<Micros> told_at;        ///< when it was told a token of this holding
-  Micros last_answered{0};              ///< when we last received a report that we answered with 200
-  bool lost = false;                    ///< its lease is surely over
-  std::uint64_t shown_token = 0;        ///< in its newest account
-  std::uint64_t answered_in = 0;        ///< the last report that we answered with orders
-  std::uint64_t answered_token = 0;     ///< the token in that answer
-  int unheeded = 0;                     ///< signs, in a row, that answers and commands don't reach it
+  /// When it was sent a token of this holding that it has not shown since. Not set by what was surely lost.
+  std::optional<Micros> told_at;
+  Micros last_answered{0};           ///< when we last received a report that we answered with 200
+  bool lost = false;                 ///< its lease is surely over
+  std::uint64_t shown_token = 0;     ///< in its newest account
+  std::uint64_t answered_in = 0;     ///< the last report that we answered with orders
+  std::uint64_t answered_token = 0;  ///< the token in that answer
+  Micros orders_sent_at{0};          ///< when that answer was sent
+  bool order_lost = false;           ///< a direct order got no answer since the last report
+  int lost_orders = 0;               ///< in a row, each followed by a report
+  int unheeded = 0;                  ///< signs, in a row, that answers and commands don't reach it
   std::optional<Micros> notice_until;
   bool condemned = false;  ///< to be deleted; nothing is placed on it any more
   bool deleting = false;
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -23,6 +23,13 @@
 };
 
 struct Settings {
+  /// How long a worker waits for the answer to a report before it gives up on it (PROTOCOL).
+  static constexpr Micros kWorkerPatience = seconds(4);
+  /// How long it waits then before it reports to the next controller (PROTOCOL).
+  static constexpr Micros kWorkerRetry = seconds(1);
+  /// How long a peer takes to acquire a part that is free.
+  static constexpr Micros kTakeOver = seconds(2);
+
   std::string host;
   std::string zone;
   std::string api_address;
@@ -56,12 +63,13 @@
   /// The term of a part's lease. A holder may go on acting for a term after it lost the state service, and
   /// its workers for their lease after that; both together have to stay below the time in which a
   /// cancelled job must be gone, with a third of the slack left as margin. Where the workers' lease allows,
-  /// it is short enough for them to report to the next holder before their lease is over: they wait 4 s for
-  /// the one that stands still and 1 s before the next try, and the next holder takes 2 s to take over. It is
-  /// not shorter than half of that, as outages of the state service have to be borne.
+  /// it is short enough for them to report to the next holder before their lease is over, after waiting for
+  /// the one that stands still. It is not shorter than half of that, as outages of the state service have to
+  /// be borne.
   Micros term() const {
     const Micros longest{(cancel_within - worker_lease).count() * 2 / 3};
-    const Micros before_workers_lease = worker_lease - report_every * 5 / 4 - seconds(4 + 1 + 2);
+    const Micros change_of_holder = kWorkerPatience + kWorkerRetry + kTakeOver;
+    const Micros before_workers_lease = worker_lease - report_every * 5 / 4 - change_of_holder;
     return std::clamp(before_workers_lease, longest / 2, longest);
   }
   /// The longest time from the moment at which a user is told that a job is cancelled until its last task is
--- a/tests/meeting_test.cpp
+++ b/tests/meeting_test.cpp
@@ -321,6 +321,58 @@
   EXPECT_TRUE(t.machine().condemned);
 }
 
+// A cut swallows a direct order and holds the reports that follow it: all of that was sent before anything of
+// ours could have reached the worker. It once added up to a machine that is deleted though it is well.
+TEST(HeldReports, AndTheOrderLostInTheSameCutAreNoSignOfDeafness) {
+  TakenPart t;
+  t.part.settle(t.machine(), true);
+  t.at<LogLine>(101.5, [&] { t.fleet.on_orders_answer(1, {OrdersAnswer::Outcome::lost, {}}); });
+  t.at<LogLine>(111, [&] {
+    for (std::uint64_t sequence = 4; sequence < 9; ++sequence)
+      t.fleet.on_report(sequence, t.report(5, 1, sequence, false));
+    t.fleet.tick();
+  });
+  EXPECT_EQ(t.machine().unheeded, 0);
+  EXPECT_FALSE(t.machine().condemned);
+}
+
+// Reports that were held together say nothing of the start that the first one was answered with.
+TEST(HeldReports, DoNotShowThatAStartWasNotTakenUp) {
+  for (const auto& [next_report_at, signs] : {std::pair(101.1, 0), std::pair(106.0, 1)}) {
+    TakenPart t;
+    Job& job = t.add_job();
+    t.at<LogLine>(100.5, [&] { t.fleet.on_report(1, t.report(10, 1, 4, false)); });
+    t.part.place(t.machine(), {kTask, 7}, &job);
+    job.leave_waiting(0, {Task::State::placed, &t.machine(), 7});
+    t.at<LogLine>(101, [&] { t.fleet.on_report(2, t.report(10, 1, 5, false)); });
+    t.at<LogLine>(next_report_at, [&] { t.fleet.on_report(3, t.report(10, 1, 6, false)); });
+    EXPECT_EQ(t.machine().unheeded, signs) << next_report_at;
+  }
+}
+
+// The machine is asked again as soon as it reports. Only an order lost then as well is a sign.
+TEST(LostOrders, AreASignOfDeafnessOnceReportsCameInBetween) {
+  TakenPart t;
+  t.at<LogLine>(101, [&] { t.fleet.on_report(4, t.report(10, 1, 4, false)); });
+  std::uint64_t call = 1;
+  for (const auto& [moment, signs] : {std::pair(107.0, 0), std::pair(112.0, 2)}) {
+    t.at<LogLine>(moment - 4, [&] { t.fleet.on_orders_answer(call, {OrdersAnswer::Outcome::lost, {}}); });
+    const auto calls = t.at<WorkerCall>(moment, [&] {
+      t.fleet.on_report(call, t.report(10, 1, static_cast<std::uint64_t>(moment), false));
+      t.fleet.push_orders(t.part);
+    });
+    EXPECT_EQ(t.machine().unheeded, signs) << moment;
+    ASSERT_EQ(calls.size(), 1u) << moment;
+    call = calls[0].call;
+  }
+  t.at<LogLine>(117, [&] {
+    t.fleet.on_orders_answer(call, {OrdersAnswer::Outcome::lost, {}});
+    t.fleet.on_report(call, t.report(10, 1, 117, false));
+    t.fleet.tick();
+  });
+  EXPECT_TRUE(t.machine().condemned);
+}
+
 // A holder whose term was renewed after an outage once started, and kept alive, what was awarded to it
 // before: the job had been cancelled meanwhile.
 TEST(AwardsInDoubt, AreNeitherStartedNorKeptAlive) {
