A frozen holder's workers reach the next holder within their lease

Cause: with a lease of 12 s the term was 10 s, so the part of a controller that stands still was taken after the leases of its workers; and peers sent workers back to it, which cost them 5 s each time.

The term is no longer than half of the workers' lease where it can't be within it; a report for a holder that says nothing waits up to 3 s at a peer for the change of holder; peers look for the record every 0.3 s then. Ruled out: memory, refused calls (none).

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr Micros kWatchEvery = millis(250);
+/// A report waits that long for a change of holder: its worker is still there to get the answer.
+constexpr Micros kDeferFor = Settings::kWorkerPatience - Settings::kWorkerRetry;
 /// A zone may be cut off for that many of its workers' leases before its machines are given up.
 constexpr int kCutLeases = 8;
 /// That many signs in a row show that nothing reaches a machine. One answer may always come too late.
@@ -43,24 +45,33 @@
 // ---- whose machine is it? ------------------------------------------------------------------------
 
 void Fleet::on_report(std::uint64_t request, const Report& report) {
+  route_report(request, report, cluster_.now());
+}
+
+void Fleet::route_report(std::uint64_t request, const Report& report, Micros since) {
   if (!cluster_.acting()) return answer(request, 503);
   const std::string* name = claims_.part_of(report.machine);
-  if (name == nullptr) return on_unclaimed(request, report);
+  if (name == nullptr) return on_unclaimed(request, report, since);
   if (Part* part = cluster_.held(*name)) {
     if (part->ready()) return on_own_report(request, *part, report);
-    return defer(request, report);  // the part is being loaded
+    return defer(request, report, since);  // the part is being loaded
   }
   const std::string holder = cluster_.holder(*name);
-  holder == cluster_.self() ? answer(request, 503) : answer(request, 421, holder);
+  if (holder == cluster_.self()) return answer(request, 503);
+  // A holder that stands still would keep the worker waiting for longer than its lease lasts. It does better
+  // to wait here for a moment, until somebody has taken over the part.
+  const bool just_came = cluster_.now() - since < kDeferFor;
+  if (!cluster_.reachable(holder) && just_came) return defer(request, report, since);
+  answer(request, 421, holder);
 }
 
-void Fleet::defer(std::uint64_t request, const Report& report) {
+void Fleet::defer(std::uint64_t request, const Report& report, Micros since) {
   // Each holds a socket, so that there can't be more of them.
   if (deferred_.size() >= cluster_.context.settings.sockets) return answer(request, 503);
-  deferred_.push_back({request, report, cluster_.now()});
+  deferred_.push_back({request, report, since});
 }
 
-void Fleet::on_unclaimed(std::uint64_t request, const Report& report) {
+void Fleet::on_unclaimed(std::uint64_t request, const Report& report, Micros since) {
   // Only the holder of its home part claims a machine; everybody else need not read anything.
   const std::string home = claims_.home_part(report.machine, report.zone);
   Part* part = cluster_.held(home);
@@ -69,7 +80,7 @@
     return holder == cluster_.self() ? answer(request, 503) : answer(request, 421, holder);
   }
   if (!part->ready() || deleted_.contains(report.machine)) return answer(request, 503);
-  defer(request, report);
+  defer(request, report, since);
   // A machine that nobody claimed was never given a token: this one was claimed by somebody, or deleted.
   if (report.token != 0) return claims_.doubt();
   claims_.want(*part, machine_of({report.machine, report.type, report.zone, report.spot, report.address,
@@ -93,7 +104,7 @@
   std::swap(again, deferred_);
   for (Deferred& d : again) {
     if (claims_.part_of(d.report.machine) != nullptr)
-      on_report(d.request, d.report);
+      route_report(d.request, d.report, d.since);
     else
       deferred_.push_back(std::move(d));
   }
@@ -686,8 +697,9 @@
 
 void Fleet::tick() {
   const Micros now = cluster_.now();
+  resume_deferred();
   std::erase_if(deferred_, [&](const Deferred& d) {
-    if (now - d.since < seconds(2)) return false;
+    if (now - d.since < kDeferFor) return false;
     answer(d.request, 503);
     return true;
   });
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -52,8 +52,10 @@
     std::vector<AttemptId> starts;
   };
 
-  void on_unclaimed(std::uint64_t request, const Report& report);
-  void defer(std::uint64_t request, const Report& report);
+  void on_unclaimed(std::uint64_t request, const Report& report, Micros since);
+  /// Answers a report, or keeps it for later; `since`: when it came.
+  void route_report(std::uint64_t request, const Report& report, Micros since);
+  void defer(std::uint64_t request, const Report& report, Micros since);
   void on_own_report(std::uint64_t request, Part& part, const Report& report);
   void apply(Part& part, Machine& m, const Report& report, bool is_report);
   bool believable(const Part& part, const Report& report) const;
--- a/src/core/holdings.cpp
+++ b/src/core/holdings.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Micros kWordEvery = millis(1000);
+constexpr Micros kLookEvery = millis(1000);
+constexpr Micros kLookSoon = millis(300);
 constexpr Micros kTokenEvery = millis(1000);  ///< every machine has to learn each new token
 constexpr Micros kOldTokenEvery = seconds(8);
 constexpr Micros kResignFor = seconds(5);  ///< for the peer to take the part
@@ -167,13 +169,17 @@
 void Holdings::look() {
   if (looking_) return;
   looking_ = true;
-  next_look_ = cluster_.now() + millis(1000);
+  // A holder that says nothing may have stopped: its part is to be taken as soon as its record is gone.
+  const bool all_heard = std::all_of(cluster_.routes.begin(), cluster_.routes.end(), [&](const auto& route) {
+    return cluster_.reachable(cluster_.holder(route.first));
+  });
+  next_look_ = cluster_.now() + (all_heard ? kLookEvery : kLookSoon);
   cluster_.store.list(records::kHoldPrefix, [this](const StateAnswer& a) {
     looking_ = false;
     if (a.ok())
       on_routes(a);
     else
-      next_look_ = cluster_.now() + millis(300);
+      next_look_ = cluster_.now() + kLookSoon;
   });
 }
 
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -64,13 +64,13 @@
   /// its workers for their lease after that; both together have to stay below the time in which a
   /// cancelled job must be gone, with a third of the slack left as margin. Where the workers' lease allows,
   /// it is short enough for them to report to the next holder before their lease is over, after waiting for
-  /// the one that stands still. It is not shorter than half of that, as outages of the state service have to
-  /// be borne.
+  /// the one that stands still. It is not shorter than half of either, as outages of the state service have
+  /// to be borne.
   Micros term() const {
     const Micros longest{(cancel_within - worker_lease).count() * 2 / 3};
     const Micros change_of_holder = kWorkerPatience + kWorkerRetry + kTakeOver;
     const Micros before_workers_lease = worker_lease - report_every * 5 / 4 - change_of_holder;
-    return std::clamp(before_workers_lease, longest / 2, longest);
+    return std::clamp(before_workers_lease, std::min(longest, worker_lease) / 2, longest);
   }
   /// The longest time from the moment at which a user is told that a job is cancelled until its last task is
   /// gone (docs/DESIGN.md): a controller that can't know acts on what it read before for a term, and a worker
