Services begin where their image is cached; opportunistic work rents cheap machines only

A service goes to a machine with its image if lesser tasks there can give way sooner than a fetch takes.

--- a/src/core/part.h
+++ b/src/core/part.h
@@ -58,7 +58,10 @@
   bool unrentable = false;     ///< the cloud has nothing for it
   std::uint32_t overflow = 0;  ///< tasks that found no room in the last pass
   bool short_of_share = false;
+  bool only_where_cached = false;  ///< room is being made on a machine that caches its image
 
+  /// Whether any task of it has been placed or is done.
+  bool begun() const { return done > 0 || present > 0 || waiting.size() < tasks.size(); }
   bool can_start(Micros now) const { return !ended && !finalizing && !waiting.empty() && now >= retry_at; }
   /// A job that fails on several machines and never succeeds is taken to be faulty itself.
   bool suspect() const { return !succeeded && failed_on.size() >= 2; }
@@ -154,6 +157,7 @@
   bool condemned = false;  ///< to be deleted; nothing is placed on it any more
   bool deleting = false;
   Micros idle_since{0};
+  Micros needed_at{0};                ///< when it last held anything that is not opportunistic
   std::set<std::string> failed_jobs;  ///< whose tasks failed on it since its last success
   bool quarantined = false;
   Micros avoid_until{0};
--- a/src/core/renter.cpp
+++ b/src/core/renter.cpp
@@ -13,6 +13,8 @@
 constexpr double kSlowBoot = 120;      ///< a boot of this many seconds doubles the price in our eyes
 constexpr std::size_t kNamesPerDelete = 100;
 constexpr int kMachinesPerOrder = 50;
+/// Opportunistic work that has not begun by then gets a machine for its first task at any price.
+constexpr Micros kLongestWait = seconds(120);
 constexpr Micros kLeastPaid = seconds(60);  ///< a machine costs as much even if it is returned earlier
 
 }  // namespace
@@ -110,8 +112,9 @@
   return (!kind.spot || spec.spot) && spec.allows_type(kind.type) && (!spec.zone || *spec.zone == kind.zone);
 }
 
-std::optional<Renter::Kind> Renter::cheapest(const Part& part, const JobSpec& spec,
+std::optional<Renter::Kind> Renter::cheapest(const Part& part, const Need& need,
                                              const std::vector<Need>& needs) const {
+  const JobSpec& spec = need.job->spec;
   std::optional<Kind> best;
   double best_cost = 0;
   for (const MachineType& t : cluster_.catalogue) {
@@ -119,15 +122,15 @@
     for (const std::string& zone : t.zones)
       for (bool spot : {false, true}) {
         const Kind kind{t.name, zone, spot};
-        if (!suits(spec, kind) || (spot && (!cluster_.context.policy.spot_machines || t.spot_price <= 0)))
-          continue;
+        if (!suits(spec, kind) || (need.spot_only && !spot)) continue;
+        if (spot && (!cluster_.context.policy.spot_machines || t.spot_price <= 0)) continue;
         if (part.cut_zones.contains(zone)) continue;
         if (auto it = none_until_.find(kind); it != none_until_.end() && it->second > cluster_.now())
           continue;
         // For each CPU that will be used: a machine not filled is dearer, and one that boots slowly, too.
         std::int64_t wanted = 0;
-        for (const Need& need : needs)
-          if (suits(need.job->spec, kind)) wanted += need.job->spec.each.cpu * need.tasks;
+        for (const Need& other : needs)
+          if (suits(other.job->spec, kind)) wanted += other.job->spec.each.cpu * other.tasks;
         double cost = (spot ? t.spot_price : t.price) / static_cast<double>(std::min(t.size.cpu, wanted));
         cost *= 1.0 + in_seconds(t.boot) / kSlowBoot;
         // Our own zone decides among equals; for services it is worth more, as they go on there when the way
@@ -140,34 +143,46 @@
   return best;
 }
 
-std::map<Renter::Kind, int> Renter::demand(Part& part) {
-  std::map<Kind, int> out;
-  // Machines that boot, or that are being added in this very pass, hold some of the tasks already.
-  struct Bin {
-    Kind kind;
-    Resources free;
-  };
+/// Whether a machine that boots is still counted on. One that is overdue is, while no other of its type that
+/// was rented as late has come up: then all of them are slow, and renting them anew would bring twice what is
+/// needed.
+bool Renter::may_still_come(const Machine& m, const std::map<std::string, Micros>& newest_up) const {
+  const MachineType* type = cluster_.type(m.type);
+  const Micros age = cluster_.context.wall - m.rented;
+  if (age <= type->boot * 8 / 5 + seconds(2)) return true;
+  if (!fleet_.booting(m)) return false;
+  auto newest = newest_up.find(m.type);
+  return newest == newest_up.end() || newest->second < m.rented;
+}
+
+std::vector<Renter::Bin> Renter::room_to_come(const Part& part) const {
+  std::map<std::string, Micros> newest_up;  // of each type, by the moment of renting
+  for (const auto& [name, m] : part.machines)
+    if (m.heard) newest_up[m.type] = std::max(newest_up[m.type], m.rented);
   std::vector<Bin> bins;
   for (const auto& [name, m] : part.machines) {
     const MachineType* type = cluster_.type(m.type);
     if (m.condemned || type == nullptr) continue;
+    const Kind kind{m.type, m.zone, m.spot};
     if (m.heard) {
       // Room that will be free before a new machine is up saves renting it.
-      if (fleet_.usable(m))
-        bins.push_back({{m.type, m.zone, m.spot}, m.coming_by(cluster_.now() + type->boot)});
-      continue;
+      if (fleet_.usable(m)) bins.push_back({kind, m.coming_by(cluster_.now() + type->boot)});
+    } else if (!part.cut_zones.contains(m.zone) && may_still_come(m, newest_up)) {
+      bins.push_back({kind, m.size});
     }
-    if (part.cut_zones.contains(m.zone)) continue;
-    // One that takes much longer than usual may never come.
-    if (cluster_.context.wall - m.rented > type->boot * 8 / 5 + seconds(2)) continue;
-    bins.push_back({{m.type, m.zone, m.spot}, m.size});
   }
-  auto fill = [](Bin& bin, Need& need) {
-    if (need.tasks <= 0 || bin.free.cpu < need.job->spec.each.cpu || !suits(need.job->spec, bin.kind)) return;
-    const std::int64_t n = std::min(need.tasks, bin.free.holds(need.job->spec.each));
-    bin.free -= need.job->spec.each * n;
-    need.tasks -= n;
-  };
+  return bins;
+}
+
+void Renter::fill(Bin& bin, Need& need) {
+  if (need.tasks <= 0 || bin.free.cpu < need.job->spec.each.cpu || !suits(need.job->spec, bin.kind)) return;
+  const std::int64_t n = std::min(need.tasks, bin.free.holds(need.job->spec.each));
+  bin.free -= need.job->spec.each * n;
+  need.tasks -= n;
+}
+
+/// What finds no room in the bins, the highest priority first.
+std::vector<Renter::Need> Renter::needs_beyond(Part& part, std::vector<Bin>& bins) const {
   std::vector<Need> needs;
   std::map<std::string, Quota> share;
   for (auto& [id, job] : part.jobs) {
@@ -176,19 +191,34 @@
     if (fresh) free->second = part.free_share(job.spec.team);
     const Quota each = quota_of(job.spec.each);
     Need need{&job, std::min<std::int64_t>(job.overflow, free->second.holds(each))};
+    if (cluster_.context.settings.opportunistic(job.spec)) {
+      // It has to begin all the same.
+      const bool too_long = !job.begun() && cluster_.context.wall - job.accepted > kLongestWait;
+      need.spot_only = !too_long;
+      if (too_long) need.tasks = std::min<std::int64_t>(need.tasks, 1);
+    }
     free->second -= each * need.tasks;
     for (Bin& bin : bins) fill(bin, need);
     if (need.tasks > 0) needs.push_back(need);
   }
-  std::sort(needs.begin(), needs.end(),
-            [](const Need& a, const Need& b) { return a.job->spec.priority > b.job->spec.priority; });
+  std::stable_sort(needs.begin(), needs.end(),
+                   [](const Need& a, const Need& b) { return a.job->spec.priority > b.job->spec.priority; });
+  return needs;
+}
+
+std::map<Renter::Kind, Renter::Wanted> Renter::demand(Part& part) {
+  std::map<Kind, Wanted> out;
+  std::vector<Bin> bins = room_to_come(part);
+  std::vector<Need> needs = needs_beyond(part, bins);
   int machines = 0;
   for (Need& need : needs)
     while (need.tasks > 0 && machines < kMachinesPerOrder) {
-      auto kind = cheapest(part, need.job->spec, needs);
+      auto kind = cheapest(part, need, needs);
       need.job->unrentable = !kind;
       if (!kind) break;
-      ++out[*kind];
+      Wanted& wanted = out[*kind];
+      ++wanted.count;
+      wanted.priority = std::max(wanted.priority, need.job->spec.priority);
       ++machines;
       Bin bin{*kind, cluster_.type(kind->type)->size};
       for (Need& other : needs) fill(bin, other);
@@ -214,12 +244,15 @@
     const auto [charter, what] = *unanswered_.begin();
     return order(part, charter, what.first, what.second);
   }
-  const std::map<Kind, int> wanted = demand(part);
+  const std::map<Kind, Wanted> wanted = demand(part);
   if (wanted.empty()) return;
-  // One at a time, as the next pass sees what this one brought: the largest, as orders are few.
-  const auto& [kind, count] = *std::max_element(
-      wanted.begin(), wanted.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
-  order(part, next_charter(), kind, std::min(count, kMachinesPerOrder));
+  // One at a time, as the next pass sees what this one brought: for the highest priority, and of these the
+  // largest, as orders are few.
+  const auto& [kind, most] =
+      *std::max_element(wanted.begin(), wanted.end(), [](const auto& a, const auto& b) {
+        return std::pair(a.second.priority, a.second.count) < std::pair(b.second.priority, b.second.count);
+      });
+  order(part, next_charter(), kind, std::min(most.count, kMachinesPerOrder));
 }
 
 void Renter::order(Part& part, const std::string& charter, const Kind& kind, int count) {
@@ -254,15 +287,39 @@
   const Micros idle = seconds(cluster_.context.policy.idle_return_s);
   // Kept idle for tasks that it does not suit, it could block the room in the cloud that these wait for.
   for (auto& [name, m] : part.machines) {
-    if (m.condemned || !m.heard || !m.settled || !m.idle()) continue;
+    if (m.condemned || !m.heard || !m.settled) continue;
     // Behind a cut they are idle because nothing reaches them, and will be wanted when the cut is over.
     if (m.lost || part.cut_zones.contains(m.zone)) continue;
+    if (!m.idle()) {
+      drain_opportunistic(part, m);
+      continue;
+    }
     if (now - m.idle_since < idle || cluster_.context.wall - m.rented < kLeastPaid) continue;
     m.condemned = true;
     cluster_.context.debug("machine " + name + " is idle: it is returned");
   }
 }
 
+void Renter::drain_opportunistic(Part& part, Machine& m) const {
+  if (m.spot) return;
+  const Settings& settings = cluster_.context.settings;
+  for (const auto& [id, p] : m.tasks) {
+    auto job = part.jobs.find(id.task.job);
+    if (p.wanted && p.takes_room() && job != part.jobs.end() && settings.opportunistic(job->second.spec))
+      continue;
+    m.needed_at = cluster_.now();
+    return;
+  }
+  if (cluster_.now() - m.needed_at < seconds(cluster_.context.policy.idle_return_s)) return;
+  // The first task of a job is left in peace: it would have to begin elsewhere within its time.
+  for (auto& [id, p] : m.tasks) {
+    auto job = part.jobs.find(id.task.job);
+    if (cluster_.context.wall - job->second.accepted < kLongestWait * 2 && job->second.present == 1) continue;
+    part.change(m, id, p, [](Placement& q) { q.wanted = false; });
+    part.push_to(m);
+  }
+}
+
 void Renter::give_up_stuck(Part& part) {
   for (auto& [name, m] : part.machines) {
     if (m.heard || m.condemned || fleet_.booting(m)) continue;
--- a/src/core/renter.h
+++ b/src/core/renter.h
@@ -29,16 +29,33 @@
   void rent(Part& part);
   void order(Part& part, const std::string& charter, const Kind& kind, int count);
   void return_idle(Part& part);
+  /// Stops opportunistic work that alone keeps an ordinary machine rented.
+  void drain_opportunistic(Part& part, Machine& m) const;
   void give_up_stuck(Part& part);
   void remove_condemned(Part& part);
   void look_for_strays(Part& part);
-  std::map<Kind, int> demand(Part& part);
+  /// Machines of one kind that are wanted, and the highest priority of the jobs that want them.
+  struct Wanted {
+    int count = 0;
+    Priority priority = Priority::low;
+  };
   /// Tasks of a job that still need a machine.
   struct Need {
     Job* job;
     std::int64_t tasks;
+    bool spot_only = false;
+  };
+  /// Room of a machine that is up, that boots, or that is being added in this very pass.
+  struct Bin {
+    Kind kind;
+    Resources free;
   };
-  std::optional<Kind> cheapest(const Part& part, const JobSpec& spec, const std::vector<Need>& needs) const;
+  std::map<Kind, Wanted> demand(Part& part);
+  std::vector<Bin> room_to_come(const Part& part) const;
+  bool may_still_come(const Machine& m, const std::map<std::string, Micros>& newest_up) const;
+  std::vector<Need> needs_beyond(Part& part, std::vector<Bin>& bins) const;
+  static void fill(Bin& bin, Need& need);
+  std::optional<Kind> cheapest(const Part& part, const Need& need, const std::vector<Need>& needs) const;
   static bool suits(const JobSpec& spec, const Kind& kind);
   void refused(const Kind& kind);
   std::string next_charter();
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -5,8 +5,10 @@
 namespace {
 
 constexpr std::int64_t kStopsPerPass = 32;
-constexpr int kShortFetch = 10;             ///< a fetch is short if the run takes this many times longer
-constexpr int kMakingRoomPerPass = 4;       ///< jobs for which others may be stopped
+constexpr int kShortFetch = 10;        ///< a fetch is short if the run takes this many times longer
+constexpr int kMakingRoomPerPass = 4;  ///< jobs for which others may be stopped
+/// A task that is told to stop is gone by then, if it saves nothing or little.
+constexpr Micros kStopTakes = seconds(4);
 constexpr Micros kPassEvery = millis(500);  ///< if nothing has changed
 /// Work of a job has to begin within 4 minutes. From the half of that on it goes before its equals.
 constexpr Micros kLongest = seconds(120);
@@ -100,9 +102,19 @@
   return true;
 }
 
+bool Scheduler::worth_its_price(const Part& part, const Job& job, const Machine& m) const {
+  const Settings& settings = cluster_.context.settings;
+  if (m.spot || !job.begun() || !settings.opportunistic(job.spec)) return true;
+  return std::any_of(m.tasks.begin(), m.tasks.end(), [&](const auto& task) {
+    auto other = part.jobs.find(task.first.task.job);
+    return task.second.wanted && other != part.jobs.end() && !settings.opportunistic(other->second.spec);
+  });
+}
+
 void Scheduler::place(Part& part, const Ranked& ranked, Room& room, PerZone& per_zone) {
   Job& job = *ranked.job;
   Machine& m = *room.machine;
+  if (!worth_its_price(part, job, m)) return;
   const Quota each = quota_of(job.spec.each);
   // A job that fails everywhere gets one try at a time.
   const bool one_at_a_time = job.suspect();
@@ -144,6 +156,7 @@
     const Machine& m = *r.machine;
     if (!job.spec.each.fits_in(r.free) || !allowed(job, m, per_zone)) continue;
     if (job.failed_on.contains(m.name) && part.machines.size() > job.failed_on.size()) continue;
+    if (job.only_where_cached && !m.images.contains(job.spec.image)) continue;
     const bool short_fetch = cluster_.fetch_time(job.spec, m.type) * kShortFetch < job.spec.estimate;
     const bool cached = short_fetch || m.images.contains(job.spec.image);
     const bool near = !service || m.zone == cluster_.context.settings.zone;
@@ -159,6 +172,29 @@
   }
 }
 
+bool Scheduler::sooner_where_cached(const Part& part, const Job& job, const std::vector<Room>& rooms,
+                                    const PerZone& per_zone) const {
+  if (job.spec.shape != Shape::service || job.short_of_share) return false;
+  if (cluster_.context.wall - job.accepted > kStopTakes) return false;
+  bool can_make_room = false;
+  for (const Room& room : rooms) {
+    const Machine& m = *room.machine;
+    if (!m.images.contains(job.spec.image) || !allowed(job, m, per_zone) || job.failed_on.contains(m.name))
+      continue;
+    if (cluster_.fetch_time(job.spec, m.type) <= kStopTakes) return false;
+    Resources could = m.free() + room.coming;
+    if (job.spec.each.fits_in(m.free())) return false;  // it goes there without any of this
+    for (const auto& [id, p] : m.tasks) {
+      auto other = part.jobs.find(id.task.job);
+      if (p.wanted && p.takes_room() && other != part.jobs.end() &&
+          other->second.spec.priority < job.spec.priority && other->second.spec.save <= kStopTakes)
+        could += p.each;
+    }
+    can_make_room |= job.spec.each.fits_in(could);
+  }
+  return can_make_room;
+}
+
 void Scheduler::pass(Part& part) {
   if (cluster_.now() < part.next_pass) return;
   part.next_pass = cluster_.now() + kPassEvery;
@@ -186,6 +222,8 @@
   for (const Ranked& r : part.queue) {
     Job& job = *r.job;
     PerZone per_zone = zones_of(part, job);
+    job.only_where_cached =
+        attempts > 0 && may_lose.lowest < job.spec.priority && sooner_where_cached(part, job, free, per_zone);
     if (!open.empty()) place_all(part, r, open, per_zone);
     std::erase_if(open, useless);
     if (!job.waiting.empty() && !quota_of(job.spec.each).fits_in(part.free_share(job.spec.team)))
@@ -224,7 +262,8 @@
       const Job& job = *r.job;
       if (!part.may_start(job, cluster_.now()) || job.failed_on.contains(machine.name)) continue;
       if (first == nullptr) first = &r;
-      if (cached_only && (!equal(r) || !machine.images.contains(job.spec.image))) continue;
+      if ((cached_only || job.only_where_cached) && !machine.images.contains(job.spec.image)) continue;
+      if (cached_only && !equal(r)) continue;
       if (!job.spec.each.fits_in(room.free)) continue;
       PerZone per_zone = zones_of(part, job);
       place(part, r, room, per_zone);
--- a/src/core/scheduler.h
+++ b/src/core/scheduler.h
@@ -39,6 +39,9 @@
   void rank(Part& part);
   std::vector<Room> rooms(Part& part) const;
   static bool allowed(const Job& job, const Machine& m, const PerZone& per_zone);
+  /// Opportunistic work does not begin on an ordinary machine that nothing else needs: it would keep it
+  /// rented.
+  bool worth_its_price(const Part& part, const Job& job, const Machine& m) const;
   /// Places as many waiting tasks of a job as fit on a machine and into the share.
   void place(Part& part, const Ranked& ranked, Room& room, PerZone& per_zone);
   void place_all(Part& part, const Ranked& ranked, std::vector<Room>& rooms, PerZone& per_zone);
@@ -48,6 +51,10 @@
     std::set<std::string> over_guarantee;  ///< teams that use more
   };
   Losers losers(const Part& part) const;
+  /// Whether a service begins sooner on a machine that caches its image, once lesser tasks there have given
+  /// way, than anywhere else with a fetch.
+  bool sooner_where_cached(const Part& part, const Job& job, const std::vector<Room>& rooms,
+                           const PerZone& per_zone) const;
   /// Stops tasks that have to give way. The room is there once their machines have shown them gone.
   void make_room(Part& part, const Ranked& ranked, std::vector<Room>& rooms, const PerZone& per_zone,
                  std::int64_t& coming);
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -58,6 +58,16 @@
       if (t.name == name) return &t;
     return nullptr;
   }
+  /// Whether the job is only to use what is left over: of the lowest priority, without a deadline, an
+  /// objective of its class or a guarantee of its team. No aim of its own justifies the price of an ordinary
+  /// machine.
+  bool opportunistic(const JobSpec& spec) const {
+    if (spec.priority != Priority::low || spec.deadline) return false;
+    const Team* of = team(spec.team);
+    if (of != nullptr && of->guarantee != Quota{}) return false;
+    return std::none_of(objectives.begin(), objectives.end(),
+                        [&](const Objective& o) { return o.job_class == spec.job_class; });
+  }
   /// Longer than any pause between two reports of a worker that is well.
   Micros report_pause() const { return report_every * 8 / 5 + seconds(1); }
   /// The term of a part's lease. A holder may go on acting for a term after it lost the state service, and
--- /dev/null
+++ b/tests/machine_test.cpp
@@ -0,0 +1,142 @@
+// Event by event, what one part believes of a machine and what it answers: the proofs on which the rules
+// rest.
+
+#include <gtest/gtest.h>
+
+#include "sim/held_part.h"
+
+namespace bendtide::sim {
+namespace {
+
+// Each answer renews the lease. Holders that followed one another once kept a cancelled job's tasks alive, as
+// each had ended before the worker reported a second time.
+TEST(FirstAnswer, StopsWhatThePartDoesNotHave) {
+  HeldPart t;
+  const auto answers = t.at<AnswerWorker>(101, [&] { t.fleet.on_report(1, t.report(5, 1, 4, true)); });
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers[0].reply.status, 200);
+  ASSERT_EQ(answers[0].reply.orders.size(), 1u);
+  EXPECT_EQ(answers[0].reply.orders[0].kind, Order::Kind::stop);
+  EXPECT_EQ(answers[0].reply.orders[0].task, kTask);
+  EXPECT_EQ(answers[0].reply.orders[0].attempt, 7u);
+
+  HeldPart with_job;
+  with_job.add_job();
+  const auto kept =
+      with_job.at<AnswerWorker>(101, [&] { with_job.fleet.on_report(1, with_job.report(5, 1, 4, true)); });
+  ASSERT_EQ(kept.size(), 1u);
+  EXPECT_TRUE(kept[0].reply.orders.empty());
+}
+
+// A worker that reaches no controller begins a new session in which orders still reach it. Its tasks were
+// once given up, and started elsewhere, a lease after the part was taken, while they ran on for the rest of
+// theirs.
+TEST(MuteMachine, IsNotGivenUpBeforeTheLeaseOfItsSessionIsOver) {
+  HeldPart t;
+  Job& job = t.add_job();
+  t.orders_answered(108, 1, OrdersAnswer::Outcome::refused, t.report(10, 2, 1, false));
+  t.orders_answered(108, 2, OrdersAnswer::Outcome::executed, t.report(10, 2, 3, true));
+  ASSERT_EQ(job.tasks[0].state, Task::State::placed);
+  t.at<LogLine>(113, [&] { t.fleet.tick(); });
+  EXPECT_EQ(job.tasks[0].state, Task::State::placed) << "the session's lease goes on until 120 s";
+  t.at<LogLine>(121, [&] { t.fleet.tick(); });
+  EXPECT_EQ(job.tasks[0].state, Task::State::waiting);
+}
+
+// What a cut held back comes all at once, and is one sign of deafness. One that goes on without our token is
+// deaf.
+TEST(HeldReports, AreOneSignOfDeafness) {
+  HeldPart t;
+  t.at<LogLine>(111, [&] {
+    t.fleet.on_report(1, t.report(5, 1, 4, false));
+    t.fleet.on_report(2, t.report(5, 1, 5, false));
+    t.fleet.on_report(3, t.report(5, 1, 6, false));
+    t.fleet.tick();
+  });
+  EXPECT_FALSE(t.machine().condemned);
+  t.at<LogLine>(116, [&] {
+    t.fleet.on_report(4, t.report(5, 1, 7, false));
+    t.fleet.tick();
+  });
+  EXPECT_TRUE(t.machine().condemned);
+}
+
+// A cut swallows a direct order and holds the reports that follow it: all of that was sent before anything of
+// ours could have reached the worker. It once added up to a machine that is deleted though it is well.
+TEST(HeldReports, AndTheOrderLostInTheSameCutAreNoSignOfDeafness) {
+  HeldPart t;
+  t.part.settle(t.machine(), true);
+  t.at<LogLine>(101.5, [&] { t.fleet.on_orders_answer(1, {OrdersAnswer::Outcome::lost, {}}); });
+  t.at<LogLine>(111, [&] {
+    for (std::uint64_t sequence = 4; sequence < 9; ++sequence)
+      t.fleet.on_report(sequence, t.report(5, 1, sequence, false));
+    t.fleet.tick();
+  });
+  EXPECT_EQ(t.machine().unheeded, 0);
+  EXPECT_FALSE(t.machine().condemned);
+}
+
+// Reports that were held together say nothing of the start that the first one was answered with.
+TEST(HeldReports, DoNotShowThatAStartWasNotTakenUp) {
+  for (const auto& [next_report_at, signs] : {std::pair(101.1, 0), std::pair(106.0, 1)}) {
+    HeldPart t;
+    Job& job = t.add_job();
+    t.at<LogLine>(100.5, [&] { t.fleet.on_report(1, t.report(10, 1, 4, false)); });
+    t.part.place(t.machine(), {kTask, 7}, &job);
+    job.leave_waiting(0, {Task::State::placed, &t.machine(), 7});
+    t.at<LogLine>(101, [&] { t.fleet.on_report(2, t.report(10, 1, 5, false)); });
+    t.at<LogLine>(next_report_at, [&] { t.fleet.on_report(3, t.report(10, 1, 6, false)); });
+    EXPECT_EQ(t.machine().unheeded, signs) << next_report_at;
+  }
+}
+
+// The machine is asked again as soon as it reports. Only an order lost then as well is a sign.
+TEST(LostOrders, AreASignOfDeafnessOnceReportsCameInBetween) {
+  HeldPart t;
+  t.at<LogLine>(101, [&] { t.fleet.on_report(4, t.report(10, 1, 4, false)); });
+  std::uint64_t call = 1;
+  for (const auto& [moment, signs] : {std::pair(107.0, 0), std::pair(112.0, 2)}) {
+    t.at<LogLine>(moment - 4, [&] { t.fleet.on_orders_answer(call, {OrdersAnswer::Outcome::lost, {}}); });
+    const auto calls = t.at<WorkerCall>(moment, [&] {
+      t.fleet.on_report(call, t.report(10, 1, static_cast<std::uint64_t>(moment), false));
+      t.fleet.push_orders(t.part);
+    });
+    EXPECT_EQ(t.machine().unheeded, signs) << moment;
+    ASSERT_EQ(calls.size(), 1u) << moment;
+    call = calls[0].call;
+  }
+  t.at<LogLine>(117, [&] {
+    t.fleet.on_orders_answer(call, {OrdersAnswer::Outcome::lost, {}});
+    t.fleet.on_report(call, t.report(10, 1, 117, false));
+    t.fleet.tick();
+  });
+  EXPECT_TRUE(t.machine().condemned);
+}
+
+// A holder whose term was renewed after an outage once started, and kept alive, what was awarded to it
+// before: the job had been cancelled meanwhile.
+TEST(AwardsInDoubt, AreNeitherStartedNorKeptAlive) {
+  HeldPart t;
+  Scheduler scheduler(t.cluster, t.fleet);
+  ContractNet net(t.cluster, scheduler, {[] {}});
+  Job& job = t.add_job();
+  t.part.awards_known(seconds(100), seconds(10));
+  EXPECT_TRUE(t.part.may_start(job, seconds(200))) << "our own";
+  job.owner = "b";
+  EXPECT_TRUE(t.part.may_start(job, seconds(109)));
+  EXPECT_FALSE(t.part.may_start(job, seconds(110)));
+
+  t.at<AnswerWorker>(105, [&] { t.fleet.on_report(1, t.report(10, 1, 4, true)); });
+  ASSERT_EQ(job.tasks[0].state, Task::State::placed);
+  for (const auto& [moment, stops] : {std::pair(109.0, 0u), std::pair(111.0, 1u)}) {
+    const auto answers = t.at<AnswerWorker>(moment, [&] {
+      net.stop_doubtful(t.part, t.machine());
+      t.fleet.on_report(2, t.report(10, 1, static_cast<std::uint64_t>(moment), true));
+    });
+    ASSERT_EQ(answers.size(), 1u);
+    EXPECT_EQ(answers[0].reply.orders.size(), stops) << moment;
+  }
+}
+
+}  // namespace
+}  // namespace bendtide::sim
--- /dev/null
+++ b/tests/sim/held_part.h
@@ -0,0 +1,71 @@
+// One part of one controller, without any cluster round it: events go in by hand, actions are looked at.
+#pragma once
+
+#include "core/contract.h"
+#include "core/jobs.h"
+
+namespace bendtide::sim {
+
+inline const TaskId kTask{"run-1", 0};
+
+/// A part taken a moment ago with token 10, whose one machine was in use by an earlier holder.
+struct HeldPart {
+  Context context{{}, {}, "life", std::mt19937_64(1), seconds(100), seconds(1'000'000), {}, {}};
+  Cluster cluster{context};
+  Fleet fleet{cluster, {[](Part&, Machine&) {}, [] {}}};
+  Part& part = cluster.parts["a"];
+
+  HeldPart() {
+    context.settings.host = "a";
+    context.settings.report_every = seconds(1.5);
+    context.settings.worker_lease = seconds(12);
+    context.settings.cancel_within = seconds(42);
+    context.settings.sockets = 100;
+    context.settings.cloud_calls_per_s = 100;
+    cluster.valid_until = seconds(10'000);
+    part.name = "a";
+    part.token = part.first_token = 10;
+    part.generation = 1;
+    part.taken_at = context.now;
+    const std::vector<records::ClaimedMachine> claimed{{"m", "small", "z", false, "m:1", {}}};
+    fleet.claims().load(part, {{records::claim_key("a", 0), records::to_json(claimed), 3}});
+    part.stage = Part::Stage::ready;
+    fleet.on_part_ready(part);
+    fleet.push_orders(part);
+  }
+  Job& add_job() {
+    records::LiveJob record;
+    record.part = "a";
+    record.spec.id = kTask.job;
+    record.spec.team = "t";
+    record.spec.tasks = 1;
+    record.spec.each = {1000, 0, 1};
+    return Jobs::load(part, record);
+  }
+  Machine& machine() { return part.machines.at("m"); }
+  Report report(std::uint64_t token, std::uint64_t session, std::uint64_t sequence, bool with_task) const {
+    Report r{"m", "m:1", "small", "z", false, session, sequence, token, {}, {}};
+    if (with_task) r.tasks = {{kTask, 7, TaskPhase::running, ExitCause::none}};
+    return r;
+  }
+  /// Does something at a moment; what it led to of one kind.
+  template <class Kind>
+  std::vector<Kind> at(double moment, const std::function<void()>& what) {
+    context.now = seconds(moment);
+    context.actions.clear();
+    what();
+    std::vector<Kind> out;
+    for (const Action& action : context.actions)
+      if (auto* a = std::get_if<Kind>(&action)) out.push_back(*a);
+    return out;
+  }
+  void orders_answered(double moment, std::uint64_t call, OrdersAnswer::Outcome outcome,
+                       const Report& report) {
+    at<LogLine>(moment, [&] {
+      fleet.on_orders_answer(call, {outcome, report});
+      fleet.push_orders(part);
+    });
+  }
+};
+
+}  // namespace bendtide::sim
