Polls about one job share one question

Cause: each poll for a job that another controller holds asked that controller, or read the state service, anew; on the bad nights users ask eight times as often. Now one question about a job is asked at a time; who asks meanwhile waits for the next, as the answer under way may be older than what that user has been told. Tests: ManyQuestions, in counts: none for a job held here, four reads for a hundred polls of an unknown job, two questions to a peer for a hundred polls of its job; no answer from a read made before the question.

--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -83,16 +83,44 @@
 
 void Jobs::on_poll(std::uint64_t request, const std::string& id) { poll(id, to_user(request), true); }
 
+/// One question about a job is asked at a time, however many ask it. Who asks while one is under way waits
+/// for the next: the answer under way may be older than what that user has been told.
 void Jobs::poll(const std::string& id, Told told, bool may_pass_on) {
   if (auto known = from_memory(id)) return told(known_reply(id, *known));
+  const SharedPoll poll{id, may_pass_on};
+  auto [waiting, first] = shared_polls_.try_emplace(poll);
+  if (first) return find_out(poll, {std::move(told)});
+  if (waiting->second.size() >= kQuestions) return told(unsure(id));
+  waiting->second.push_back(std::move(told));
+}
+
+void Jobs::find_out(const SharedPoll& poll, std::vector<Told> askers) {
+  const std::string& id = poll.id;
+  const Told answer = [this, poll, askers = std::move(askers)](const UserReply& reply) {
+    for (const Told& told : askers) told(reply);
+    found_out(poll);
+  };
   auto part = part_of_.find(id);
   const std::string holder = part == part_of_.end() ? cluster_.self() : cluster_.holder(part->second);
-  if (may_pass_on && holder != cluster_.self() && cluster_.reachable(holder))
-    return ask({holder}, {0, JobQuery::Kind::poll, id, false, {}}, kAskWithin,
-               [this, id, told](const UserReply& reply) {
-                 reply.status == 200 ? told(reply) : read_and_tell(id, told, true);
-               });
-  read_and_tell(id, std::move(told), may_pass_on);
+  if (!poll.may_pass_on || holder == cluster_.self() || !cluster_.reachable(holder))
+    return read_and_tell(id, answer, poll.may_pass_on);
+  ask({holder}, {0, JobQuery::Kind::poll, id, false, {}}, kAskWithin,
+      [this, id, answer](const UserReply& reply) {
+        if (reply.status == 200) return answer(reply);
+        read_and_tell(id, answer, true);
+      });
+}
+
+void Jobs::found_out(const SharedPoll& poll) {
+  std::vector<Told> askers = std::move(shared_polls_.at(poll));
+  shared_polls_.erase(poll);
+  if (askers.empty()) return;
+  if (auto known = from_memory(poll.id)) {
+    for (const Told& told : askers) told(known_reply(poll.id, *known));
+    return;
+  }
+  shared_polls_.try_emplace(poll);
+  find_out(poll, std::move(askers));
 }
 
 void Jobs::read_and_tell(const std::string& id, Told told, bool may_pass_on) {
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -62,6 +62,14 @@
   // The same for users and for peers that pass their users' requests on; only the former may be passed on.
   void submit(const JobSpec& spec, Told told, bool may_pass_on);
   void poll(const std::string& id, Told told, bool may_pass_on);
+  /// Polls about one job that is not known here, from users (may be passed on) or from peers.
+  struct SharedPoll {
+    std::string id;
+    bool may_pass_on = false;
+    auto operator<=>(const SharedPoll&) const = default;
+  };
+  void find_out(const SharedPoll& poll, std::vector<Told> askers);
+  void found_out(const SharedPoll& poll);
   void cancel(const std::string& id, Told told, bool may_pass_on);
 
   void read_and_tell(const std::string& id, Told told, bool may_pass_on);
@@ -102,6 +110,8 @@
   std::map<std::string, Known> finals_;
   std::deque<std::string> finals_order_;
   std::map<std::string, std::string> part_of_;
+  /// Polls under way, and who has asked the same since: these wait for the next.
+  std::map<SharedPoll, std::vector<Told>> shared_polls_;
   std::map<std::uint64_t, Asked> asked_;
   std::uint64_t next_question_;
   std::deque<Accepting> accepting_;                         ///< not written yet
--- /dev/null
+++ b/tests/question_test.cpp
@@ -0,0 +1,123 @@
+// Questions about jobs: what they cost, and that none is answered with something older than was told before.
+
+#include <gtest/gtest.h>
+
+#include "core/jobs.h"
+#include "sim/held_part.h"
+
+namespace bendtide::sim {
+namespace {
+
+/// A controller that is asked by users; the state service's and peers' answers are given by hand.
+struct AskedController : HeldPart {
+  Jobs jobs{cluster, {[](Part&) {}, [] {}}};
+  std::uint64_t next_request = 1;
+  std::vector<StateCall> reads;
+  std::vector<JobQuery> passed_on;
+  std::vector<UserReply> answers;
+
+  AskedController() {
+    context.settings.peers = {{"b", "z", "b:1"}};
+    cluster.peers["b"].heard_at = context.now;
+  }
+  void collect(const std::function<void()>& what) {
+    context.actions.clear();
+    what();
+    for (const Action& action : context.actions) {
+      if (auto* call = std::get_if<StateCall>(&action)) reads.push_back(*call);
+      if (auto* answer = std::get_if<AnswerUser>(&action)) answers.push_back(answer->reply);
+      if (auto* send = std::get_if<PeerSend>(&action))
+        if (auto* query = std::get_if<JobQuery>(&send->message)) passed_on.push_back(*query);
+    }
+  }
+  void poll(int times) {
+    collect([&] {
+      for (int i = 0; i < times; ++i) jobs.on_poll(next_request++, kTask.job);
+    });
+  }
+  /// The state service answers the read sent last.
+  void read_answered(const StateAnswer& answer) {
+    const std::uint64_t call = reads.back().call;
+    collect([&] { cluster.store.on_answer(call, answer); });
+  }
+};
+
+StateAnswer absent() {
+  StateAnswer answer;
+  answer.outcome = StateAnswer::Outcome::absent;
+  return answer;
+}
+
+StateAnswer live() {
+  records::LiveJob record;
+  record.part = "b";
+  record.spec.id = kTask.job;
+  record.spec.tasks = 1;
+  StateAnswer answer;
+  answer.outcome = StateAnswer::Outcome::ok;
+  answer.rows = {{records::live_key(kTask.job), records::to_json(record), 7}};
+  return answer;
+}
+
+TEST(ManyQuestions, AboutAJobHeldHereReadNothing) {
+  AskedController t;
+  t.add_job();
+  t.poll(1000);
+  EXPECT_EQ(t.answers.size(), 1000u);
+  EXPECT_TRUE(t.reads.empty());
+  EXPECT_TRUE(t.passed_on.empty());
+}
+
+// Users that ask eight times as often once caused eight times the reads.
+TEST(ManyQuestions, AboutAnUnknownJobShareTheirReads) {
+  AskedController t;
+  t.poll(100);
+  EXPECT_EQ(t.reads.size(), 1u);
+  t.read_answered(absent());  // not live; now whether it is over
+  t.read_answered(absent());
+  EXPECT_EQ(t.answers.size(), 1u);
+  EXPECT_EQ(t.answers[0].status, 404);
+  EXPECT_EQ(t.reads.size(), 3u) << "one more for all that asked meanwhile";
+  t.read_answered(absent());
+  t.read_answered(absent());
+  EXPECT_EQ(t.answers.size(), 100u);
+  EXPECT_EQ(t.reads.size(), 4u);
+}
+
+TEST(ManyQuestions, AboutAPeersJobShareOneQuestionToIt) {
+  AskedController t;
+  t.cluster.routes["b"].host = "b";
+  records::LiveJob record;
+  record.part = "b";
+  record.spec.id = kTask.job;
+  t.jobs.learn(record);
+  t.poll(100);
+  EXPECT_EQ(t.passed_on.size(), 1u);
+  t.collect([&] { t.jobs.on_reply({t.passed_on.back().id, 200, JobPhase::running, 0, 1}); });
+  EXPECT_EQ(t.answers.size(), 1u);
+  EXPECT_EQ(t.passed_on.size(), 2u);
+  t.collect([&] { t.jobs.on_reply({t.passed_on.back().id, 200, JobPhase::done, 1, 0}); });
+  EXPECT_EQ(t.answers.size(), 100u);
+  EXPECT_TRUE(t.reads.empty());
+}
+
+// A user that was told at another node that the job is accepted, after the read under way was made, must not
+// be told by it that there is none.
+TEST(ManyQuestions, AreNotAnsweredByAReadFromBeforeTheyWereAsked) {
+  AskedController t;
+  t.poll(1);
+  t.poll(1);
+  t.read_answered(absent());
+  t.read_answered(absent());
+  ASSERT_EQ(t.answers.size(), 1u);
+  EXPECT_EQ(t.answers[0].status, 404);
+  t.read_answered(live());
+  t.collect([&] {
+    for (const JobQuery& query : t.passed_on) t.jobs.on_reply({query.id, 503, JobPhase::pending, 0, 0});
+  });
+  ASSERT_EQ(t.answers.size(), 2u);
+  EXPECT_EQ(t.answers[1].status, 200);
+}
+
+}  // namespace
+}  // namespace bendtide::sim
--- a/tests/sim/held_part.h
+++ b/tests/sim/held_part.h
@@ -10,18 +10,27 @@
 
 /// A part taken a moment ago with token 10, whose one machine was in use by an earlier holder.
 struct HeldPart {
-  Context context{{}, {}, "life", std::mt19937_64(1), seconds(100), seconds(1'000'000), {}, {}};
+  static Settings settings() {
+    Settings s;
+    s.host = "a";
+    s.report_every = seconds(1.5);
+    s.worker_lease = seconds(12);
+    s.cancel_within = seconds(42);
+    s.sockets = 100;
+    s.cloud_calls_per_s = 100;
+    s.state_calls_per_s = 100;
+    s.state_writes_per_s = 60;
+    s.state_transaction_writes = 12;
+    s.state_value_bytes = 8 * 1024;
+    return s;
+  }
+
+  Context context{settings(), {}, "life", std::mt19937_64(1), seconds(100), seconds(1'000'000), {}, {}};
   Cluster cluster{context};
   Fleet fleet{cluster, {[](Part&, Machine&) {}, [] {}}};
   Part& part = cluster.parts["a"];
 
   HeldPart() {
-    context.settings.host = "a";
-    context.settings.report_every = seconds(1.5);
-    context.settings.worker_lease = seconds(12);
-    context.settings.cancel_within = seconds(42);
-    context.settings.sockets = 100;
-    context.settings.cloud_calls_per_s = 100;
     cluster.valid_until = seconds(10'000);
     part.name = "a";
     part.token = part.first_token = 10;
