--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -41,9 +41,9 @@
 }  // namespace
 
 Daemon::Daemon(Settings settings, std::shared_ptr<spdlog::logger> log)
-    : settings_(settings),
+    : settings_(std::move(settings)),
       log_(std::move(log)),
-      core_(settings, incarnation(), random_number()),
+      core_(settings_, incarnation(), random_number()),
       state_(loop_, settings.state_address, 8, kStateBody),
       cloud_(loop_, settings.cloud_address, 2, kCloudBody) {
   loop_.on_error = [this](const std::string& what) { log_->error("a task ended: {}", what); };
@@ -341,14 +341,14 @@
     const char* path;
     What what;
   };
-  static constexpr Row kRows[] = {{"/admin/settings", What::policy},
-                                  {"/admin/parts", What::parts},
-                                  {"/admin/machines", What::machines},
-                                  {"/admin/jobs", What::jobs},
-                                  {"/admin/negotiations", What::negotiations}};
+  static constexpr Row rows[] = {{"/admin/settings", What::policy},
+                                 {"/admin/parts", What::parts},
+                                 {"/admin/machines", What::machines},
+                                 {"/admin/jobs", What::jobs},
+                                 {"/admin/negotiations", What::negotiations}};
   if (request.target == "/admin/metrics" && request.method == "GET")
     co_return Reply{200, metrics_.text(), 0, "text/plain; version=0.0.4"};
-  for (const Row& row : kRows) {
+  for (const Row& row : rows) {
     if (request.target != row.path) continue;
     AdminRequest asked{row.what, {}};
     if (row.what == What::policy && request.method == "PATCH") {
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -25,7 +25,8 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
+// What may throw here is the command line's own table, before anything has begun.
+int main(int argc, char** argv) {  // NOLINT(bugprone-exception-escape): ends the program with its message
   CLI::App app{"bendtide: a cluster scheduler; one controller per process"};
   std::string config;
   bool check = false;
--- a/src/core/claims.cpp
+++ b/src/core/claims.cpp
@@ -96,12 +96,13 @@
   // What was claimed or is gone since, or is not written yet.
   for (auto& [name, part] : cluster_.parts) {
     if (!part.ready()) continue;
-    std::erase_if(part_of_, [&](const auto& claim) { return claim.second == name; });
+    const std::string& held = name;
+    std::erase_if(part_of_, [&](const auto& claim) { return claim.second == held; });
     for (const auto& [machine, m] : part.machines) part_of_[machine] = name;
   }
 }
 
-void Claims::add_block(Part& part, std::uint32_t number, const StateRow& row, bool settled) {
+void Claims::add_block(Part& part, std::uint32_t number, const StateRow& row, bool settled) const {
   part.claim_blocks[number].stamp = row.stamp;
   auto claims = records::claims(row.value);
   if (!claims) return;
--- a/src/core/claims.h
+++ b/src/core/claims.h
@@ -50,7 +50,7 @@
 
  private:
   void learn(const std::vector<StateRow>& rows);
-  void add_block(Part& part, std::uint32_t number, const StateRow& row, bool settled);
+  void add_block(Part& part, std::uint32_t number, const StateRow& row, bool settled) const;
   void relearn();
   void write_new(Part& part);
   void on_written(const std::string& part, std::uint64_t generation, std::uint32_t block,
--- a/src/core/contract.cpp
+++ b/src/core/contract.cpp
@@ -266,13 +266,13 @@
   }
   job.offered += static_cast<std::uint32_t>(move.tasks.size());
   const records::Award record{part.name, std::move(ranges), {part.name, job.spec, job.accepted}};
-  commit_move(part, std::move(move), Write{move.key, records::to_json(record), 0}, best.room_stamp);
+  commit_move(part, move, Write{move.key, records::to_json(record), 0}, best.room_stamp);
 }
 
-void ContractNet::commit_move(Part& part, Move move, std::optional<Write> award, std::uint64_t other_stamp) {
+void ContractNet::commit_move(Part& part, const Move& move, const std::optional<Write>& award,
+                              std::uint64_t other_stamp) {
   part.room_busy = true;
   part.lending[move.team] += move.moved;
-  if (award) award->key = move.key;
   const Condition holds = cluster_.holds(part);
   cluster_.store.get(records::room_key(move.to),
                      [this, move, award, other_stamp, holds](const StateAnswer& a) {
@@ -420,7 +420,7 @@
   move.moved = {std::clamp<std::int64_t>(free.cpu, 0, std::max<std::int64_t>(0, lend.want.cpu)),
                 std::clamp<std::int64_t>(free.gpu, 0, std::max<std::int64_t>(0, lend.want.gpu))};
   if (move.moved == Quota{}) return;
-  commit_move(*part, std::move(move), std::nullopt, 0);
+  commit_move(*part, move, std::nullopt, 0);
 }
 
 // ---- the responder -------------------------------------------------------------------------------
--- a/src/core/contract.h
+++ b/src/core/contract.h
@@ -64,7 +64,8 @@
     std::string key;
     std::vector<std::uint32_t> tasks;
   };
-  void commit_move(Part& part, Move move, std::optional<Write> award, std::uint64_t room_stamp_of_other);
+  void commit_move(Part& part, const Move& move, const std::optional<Write>& award,
+                   std::uint64_t room_stamp_of_other);
   void settle_move(const Move& move, bool applied);
   void find_out(Part& part, const Move& move);
   void find_out_later(const Move& move);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -296,12 +296,11 @@
       heeded &= listed;
     }
     if (listed || !is_report || p.direct_in_flight > 0 || p.pinned_by != 0) continue;
-    if (p.seen != Placement::Seen::no) {
-      off.push_back(id);
-    } else if (!p.wanted && p.offered_in < report.sequence) {
-      // The worker was done with our last answer before it sent this report: the start never took effect.
-      off.push_back(id);
-    }
+    // One that was there and is not listed is gone. A start that never showed is, too, if it is not wanted
+    // any more: the worker was done with our last answer before it sent this report.
+    const bool was_there = p.seen != Placement::Seen::no;
+    const bool never_took_effect = !p.wanted && p.offered_in < report.sequence;
+    if (was_there || never_took_effect) off.push_back(id);
   }
   for (const AttemptId& id : off) release(part, m, id);
   if (is_report && asked) {
--- a/src/core/holdings.cpp
+++ b/src/core/holdings.cpp
@@ -335,6 +335,7 @@
   resign(*part, name, true, "handed back");
 }
 
+// NOLINTNEXTLINE(performance-unnecessary-value-param): the caller's name may go with the part
 void Holdings::drop(std::string part, const char* why) {
   cluster_.context.info("gave up part " + part + ": " + why);
   cluster_.parts.erase(part);
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -13,7 +13,7 @@
 constexpr Micros kRereadEvery = seconds(60);
 constexpr Micros kRereadSoon = seconds(3);
 /// Submissions may wait for the budget of writes this long; later ones are told to come back.
-constexpr double kAcceptWithin_s = 1.5;
+constexpr double kAcceptWithinSeconds = 1.5;
 constexpr std::size_t kTransactionBytes = 48 * 1024;  ///< of the 64 KiB that a transaction may have
 
 }  // namespace
@@ -123,7 +123,7 @@
   find_out(poll, std::move(askers));
 }
 
-void Jobs::read_and_tell(const std::string& id, Told told, bool may_pass_on) {
+void Jobs::read_and_tell(const std::string& id, const Told& told, bool may_pass_on) {
   auto unreadable = [this, id, told, may_pass_on] {
     // The state service does not answer us: it may answer a peer, and its holder knows the job without it.
     if (!may_pass_on) return told(unsure(id));
@@ -262,7 +262,7 @@
     }
   const Settings& s = cluster_.context.settings;
   const double per_second = s.state_writes_per_s / static_cast<double>(s.controllers());
-  if (static_cast<double>(accepting_.size()) >= std::max(8.0, per_second * kAcceptWithin_s))
+  if (static_cast<double>(accepting_.size()) >= std::max(8.0, per_second * kAcceptWithinSeconds))
     return told(unsure(id, 2));
   accepting_.push_back({{cluster_.self(), spec, cluster_.context.wall}, {std::move(told)}});
   write_accepted(*cluster_.ready(cluster_.self()));
@@ -365,7 +365,7 @@
 
 void Jobs::on_cancel(std::uint64_t request, const std::string& id) { cancel(id, to_user(request), true); }
 
-void Jobs::cancel(const std::string& id, Told told, bool may_pass_on) {
+void Jobs::cancel(const std::string& id, const Told& told, bool may_pass_on) {
   if (auto it = finals_.find(id); it != finals_.end()) return told(known_reply(id, it->second));
   auto cancel_here = [this, id, told](Part& part, Job& job) {
     // An award under way would outlive the cancellation, whose write removes only those it knows of.
@@ -400,13 +400,13 @@
   cluster_.store.get(records::live_key(id), read);
 }
 
-void Jobs::finalize(Part& part, Job& job, JobPhase phase, Told told) {
+void Jobs::finalize(Part& part, Job& job, JobPhase phase, const Told& told) {
   job.finalizing = true;
-  write_final(part.name, part.generation, job.spec.id, phase, false, std::move(told));
+  write_final(part.name, part.generation, job.spec.id, phase, false, told);
 }
 
 void Jobs::write_final(const std::string& name, std::uint64_t generation, const std::string& id,
-                       JobPhase phase, bool in_doubt, Told told) {
+                       JobPhase phase, bool in_doubt, const Told& told) {
   Part* part = cluster_.known(name, generation);
   if (part == nullptr || !part->jobs.contains(id)) return told(unsure(id));
   Job& job = part->jobs.at(id);
@@ -477,7 +477,7 @@
 
 // ---- what finished -------------------------------------------------------------------------------
 
-DoneSlot& Jobs::slot_for(Part& part, const Job& job, std::uint32_t chunk) {
+DoneSlot& Jobs::slot_for(Part& part, const Job& job, std::uint32_t chunk) const {
   const std::pair key{job.spec.id, chunk};
   const std::size_t tasks =
       std::min<std::size_t>(records::kChunk, job.tasks.size() - std::size_t{chunk} * records::kChunk);
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -70,9 +70,9 @@
   };
   void find_out(const SharedPoll& poll, std::vector<Told> askers);
   void found_out(const SharedPoll& poll);
-  void cancel(const std::string& id, Told told, bool may_pass_on);
+  void cancel(const std::string& id, const Told& told, bool may_pass_on);
 
-  void read_and_tell(const std::string& id, Told told, bool may_pass_on);
+  void read_and_tell(const std::string& id, const Told& told, bool may_pass_on);
   /// Asks peers; the first good answer counts, and none of them is "unsure".
   void ask(const std::vector<std::string>& hosts, JobQuery query, Micros within, Told told);
   std::vector<std::string> peers() const;
@@ -82,9 +82,9 @@
   void refuse(const std::string& id, UserReply refusal, Told told, bool may_pass_on);
   void write_accepted(Part& part);
   void on_accepted(const std::string& part, std::uint64_t generation, Batch batch, const StateAnswer& a);
-  void finalize(Part& part, Job& job, JobPhase phase, Told told);
+  void finalize(Part& part, Job& job, JobPhase phase, const Told& told);
   void write_final(const std::string& part, std::uint64_t generation, const std::string& job, JobPhase phase,
-                   bool in_doubt, Told told);
+                   bool in_doubt, const Told& told);
   void settle(Part& part);
 
   /// Tasks of one chunk whose end is being recorded.
@@ -94,7 +94,7 @@
     std::vector<std::uint32_t> tasks;
   };
   void record(Part& part);
-  DoneSlot& slot_for(Part& part, const Job& job, std::uint32_t chunk);
+  DoneSlot& slot_for(Part& part, const Job& job, std::uint32_t chunk) const;
   void on_recorded(Part& part, const std::vector<Recorded>& batch, const std::vector<std::uint32_t>& slots,
                    const StateAnswer& a);
   void read_slot(Part& part, std::uint32_t slot);
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -151,9 +151,10 @@
   return out;
 }
 std::size_t claim_bytes(const ClaimedMachine& m) {
-  constexpr std::size_t kRound = 48;    // quotes, commas, brackets, the flag and the time
-  constexpr std::size_t kAddress = 24;  // it may come later
-  return m.name.size() + m.type.size() + m.zone.size() + std::max(m.address.size(), kAddress) + kRound;
+  constexpr std::size_t overhead = 48;         // quotes, commas, brackets, the flag and the time
+  constexpr std::size_t longest_address = 24;  // it may come later
+  return m.name.size() + m.type.size() + m.zone.size() + std::max(m.address.size(), longest_address) +
+         overhead;
 }
 std::optional<std::vector<ClaimedMachine>> claims(const Value& v) {
   return read<std::vector<ClaimedMachine>>(v, [](std::vector<ClaimedMachine>& out, const Value& in) {
@@ -194,7 +195,7 @@
 }
 
 Value to_json(const std::vector<DoneBits>& done) {
-  static constexpr char kHex[] = "0123456789abcdef";
+  static constexpr char digits[] = "0123456789abcdef";
   Value out = Value::array();
   for (const DoneBits& d : done) {
     std::string hex;
@@ -202,15 +203,15 @@
     for (std::size_t i = 0; i < d.bits.size(); i += 4) {
       int nibble = 0;
       for (std::size_t j = i; j < std::min(i + 4, d.bits.size()); ++j) nibble |= d.bits[j] ? 1 << (j - i) : 0;
-      hex += kHex[nibble];
+      hex += digits[nibble];
     }
     out.push_back({d.job, d.chunk, std::move(hex)});
   }
   return out;
 }
 std::size_t done_bytes(const std::string& job, std::size_t tasks) {
-  constexpr std::size_t kRound = 24;  // quotes, commas, brackets, the chunk's number
-  return job.size() + tasks / 4 + 1 + kRound;
+  constexpr std::size_t overhead = 24;  // quotes, commas, brackets, the chunk's number
+  return job.size() + tasks / 4 + 1 + overhead;
 }
 std::optional<std::vector<DoneBits>> done(const Value& v) {
   return read<std::vector<DoneBits>>(v, [](std::vector<DoneBits>& out, const Value& in) {
--- a/src/core/store.cpp
+++ b/src/core/store.cpp
@@ -35,7 +35,7 @@
 void Store::list(std::string prefix, Done done) { list_page(std::move(prefix), "", {}, std::move(done)); }
 
 void Store::list_page(std::string prefix, std::string after, std::vector<StateRow> rows, Done done) {
-  StateList page{prefix, after};
+  StateList page{prefix, std::move(after)};
   enqueue(reads_, std::move(page),
           [this, prefix = std::move(prefix), rows = std::move(rows),
            done = std::move(done)](const StateAnswer& answer) mutable {
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -21,10 +21,10 @@
 }
 
 bool is_token(std::string_view s) {
-  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
   return !s.empty() && std::all_of(s.begin(), s.end(), [&](char c) {
     return (c >= '0' && c <= '9') || (lower(c) >= 'a' && lower(c) <= 'z') ||
-           kMarks.find(c) != std::string_view::npos;
+           marks.find(c) != std::string_view::npos;
   });
 }
 
--- a/src/io/loop.cpp
+++ b/src/io/loop.cpp
@@ -48,7 +48,7 @@
 void Loop::spawn(Task<> task) {
   // The wrapper owns itself from here on: its frame is destroyed when it ends.
   struct Own {
-    struct promise_type {
+    struct promise_type {  // NOLINT(readability-identifier-naming): the language asks for this name
       Own get_return_object() { return {}; }
       std::suspend_never initial_suspend() noexcept { return {}; }
       std::suspend_never final_suspend() noexcept { return {}; }
@@ -82,7 +82,7 @@
   co_await wait(waiter, now() + span);
 }
 
-void Loop::add(int fd, Watch* watch) {
+void Loop::add(int fd, Watch* watch) const {
   epoll_event event{};
   event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
   event.data.ptr = watch;
--- a/src/io/loop.h
+++ b/src/io/loop.h
@@ -65,7 +65,7 @@
     bool readable = true, writable = true, stopped = false;
   };
   void arm(Waiter& waiter, std::coroutine_handle<> h, Micros until);
-  void add(int fd, Watch* watch);
+  void add(int fd, Watch* watch) const;
 
   int epoll_ = -1;
   bool running_ = true;
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -189,7 +189,7 @@
 }
 
 std::string escaped(std::string_view text) {
-  static constexpr char kHex[] = "0123456789ABCDEF";
+  static constexpr char digits[] = "0123456789ABCDEF";
   std::string out;
   for (char c : text) {
     const auto u = static_cast<unsigned char>(c);
@@ -197,8 +197,8 @@
       out += c;
     } else {
       out += '%';
-      out += kHex[u >> 4];
-      out += kHex[u & 15];
+      out += digits[u >> 4];
+      out += digits[u & 15];
     }
   }
   return out;
--- a/tests/machine_test.cpp
+++ b/tests/machine_test.cpp
@@ -95,7 +95,9 @@
   HeldPart t;
   t.at<LogLine>(101, [&] { t.fleet.on_report(4, t.report(10, 1, 4, false)); });
   std::uint64_t call = 1;
-  for (const auto& [moment, signs] : {std::pair(107.0, 0), std::pair(112.0, 2)}) {
+  for (const auto& step : {std::pair(107.0, 0), std::pair(112.0, 2)}) {
+    const double moment = step.first;
+    const int signs = step.second;
     t.at<LogLine>(moment - 4, [&] { t.fleet.on_orders_answer(call, {OrdersAnswer::Outcome::lost, {}}); });
     const auto calls = t.at<WorkerCall>(moment, [&] {
       t.fleet.on_report(call, t.report(10, 1, static_cast<std::uint64_t>(moment), false));
@@ -128,7 +130,9 @@
 
   t.at<AnswerWorker>(105, [&] { t.fleet.on_report(1, t.report(10, 1, 4, true)); });
   ASSERT_EQ(job.tasks[0].state, Task::State::placed);
-  for (const auto& [moment, stops] : {std::pair(109.0, 0u), std::pair(111.0, 1u)}) {
+  for (const auto& step : {std::pair(109.0, 0u), std::pair(111.0, 1u)}) {
+    const double moment = step.first;
+    const unsigned stops = step.second;
     const auto answers = t.at<AnswerWorker>(moment, [&] {
       net.stop_doubtful(t.part, t.machine());
       t.fleet.on_report(2, t.report(10, 1, static_cast<std::uint64_t>(moment), true));
--- a/tests/sim/day.cpp
+++ b/tests/sim/day.cpp
@@ -36,7 +36,7 @@
   return s;
 }
 
-Day::Day(DayPlan plan)
+Day::Day(const DayPlan& plan)
     : plan_(plan),
       settings_(settings_of_a_day(plan)),
       random_(plan.seed),
@@ -205,21 +205,20 @@
       if (std::holds_alternative<StateCommit>(a.request) && d.now_ < d.transactions_late_until_ &&
           !d.state_out_ && d.chance() < 0.3) {
         ++d.seen_["transactions carried out late"];
-        d.after(seconds(2 + d.chance() * 10), [this_ = &d, http = wire::request_of(a.request)] {
-          this_->state_.handle(http, this_->now_);
-        });
-        return d.after(seconds(1), [this_ = &d, n = &node, life = node.life, call = a.call] {
-          this_->on_node(*n, life, [call](Controller& c) { c.on_state(call, StateAnswer{}); });
+        d.after(seconds(2 + d.chance() * 10),
+                [day = &d, http = wire::request_of(a.request)] { day->state_.handle(http, day->now_); });
+        return d.after(seconds(1), [day = &d, n = &node, life = node.life, call = a.call] {
+          day->on_node(*n, life, [call](Controller& c) { c.on_state(call, StateAnswer{}); });
         });
       }
       d.call<StateAnswer>(
           node, kState, seconds(1),
-          [this_ = &d, request = a.request, host = node.host] {
-            if (this_->refused_hosts_.contains(host)) return wire::state_answer(request, 503, "{}");
-            if (this_->plan_.wide)
-              this_->copy_later(
-                  [this_, http = wire::request_of(request)] { this_->state_.handle(http, this_->now_); });
-            Response r = this_->state_.handle(wire::request_of(request), this_->now_);
+          [day = &d, request = a.request, host = node.host] {
+            if (day->refused_hosts_.contains(host)) return wire::state_answer(request, 503, "{}");
+            if (day->plan_.wide)
+              day->copy_later(
+                  [day, http = wire::request_of(request)] { day->state_.handle(http, day->now_); });
+            Response r = day->state_.handle(wire::request_of(request), day->now_);
             return wire::state_answer(request, r.status, r.body);
           },
           [call = a.call](Controller& c, const StateAnswer& answer) { c.on_state(call, answer); });
@@ -227,8 +226,8 @@
     void operator()(CloudCall& a) {
       d.call<CloudAnswer>(
           node, kCloud, seconds(5),
-          [this_ = &d, request = a.request] {
-            Response r = this_->cloud_.handle(wire::request_of(request), this_->now_);
+          [day = &d, request = a.request] {
+            Response r = day->cloud_.handle(wire::request_of(request), day->now_);
             return wire::cloud_answer(request, r.status, r.body);
           },
           [call = a.call](Controller& c, const CloudAnswer& answer) { c.on_cloud(call, answer); });
@@ -238,17 +237,17 @@
       const std::string machine = a.request.address.substr(0, a.request.address.find(':'));
       d.call<OrdersAnswer>(
           node, machine, millis(1500),
-          [this_ = &d, machine, body = wire::request_of(d.sabotaged(std::move(a.request))).body] {
-            auto it = this_->cloud_.machines().find(machine);
-            if (it == this_->cloud_.machines().end() || it->second.dead || !it->second.worker ||
+          [day = &d, machine, body = wire::request_of(d.sabotaged(std::move(a.request))).body] {
+            auto it = day->cloud_.machines().find(machine);
+            if (it == day->cloud_.machines().end() || it->second.dead || !it->second.worker ||
                 it->second.worker->deaf)
               return OrdersAnswer{};
-            this_->copy_later([this_, machine, body] {
-              auto again = this_->cloud_.machines().find(machine);
-              if (again != this_->cloud_.machines().end() && !again->second.dead && again->second.worker)
-                again->second.worker->orders(body, this_->now_);
+            day->copy_later([day, machine, body] {
+              auto again = day->cloud_.machines().find(machine);
+              if (again != day->cloud_.machines().end() && !again->second.dead && again->second.worker)
+                again->second.worker->orders(body, day->now_);
             });
-            Response r = it->second.worker->orders(body, this_->now_);
+            Response r = it->second.worker->orders(body, day->now_);
             return wire::orders_answer(r.status, r.body);
           },
           [call = a.call](Controller& c, const OrdersAnswer& answer) { c.on_orders(call, answer); });
@@ -257,12 +256,12 @@
       for (auto& other : d.nodes_) {
         if (other->host != a.host) continue;
         const std::string frame = codec::encode({node.host, a.message});
-        d.send(node.host, a.host, [this_ = &d, other = other.get(), frame] {
+        d.send(node.host, a.host, [day = &d, other = other.get(), frame] {
           codec::Decoded in = codec::decode(frame);
           if (in.state != codec::Decoded::State::complete)
             throw std::logic_error("a frame can't be read back");
-          this_->on_node(*other, other->life,
-                         [in](Controller& c) { c.on_peer(in.envelope.sender, in.envelope.message); });
+          day->on_node(*other, other->life,
+                       [in](Controller& c) { c.on_peer(in.envelope.sender, in.envelope.message); });
         });
       }
     }
@@ -453,8 +452,8 @@
   }
 }
 
-void Day::ask(std::function<void(Controller&, std::uint64_t)> question,
-              std::function<void(const UserReply*)> answer) {
+void Day::ask(const std::function<void(Controller&, std::uint64_t)>& question,
+              const std::function<void(const UserReply*)>& answer) {
   Node* node = nodes_[static_cast<std::size_t>(pick(3))].get();
   if (!node->up || !node->core->healthy()) {
     for (auto& other : nodes_)
--- a/tests/sim/day.h
+++ b/tests/sim/day.h
@@ -98,7 +98,7 @@
 
 class Day {
  public:
-  explicit Day(DayPlan plan);
+  explicit Day(const DayPlan& plan);
   void play();
 
   const Checker& checker() const { return checker_; }
@@ -186,8 +186,8 @@
   void submit(User& user, Micros since);
   void poll(User& user);
   void cancel(User& user);
-  void ask(std::function<void(Controller&, std::uint64_t)> question,
-           std::function<void(const UserReply*)> answer);
+  void ask(const std::function<void(Controller&, std::uint64_t)>& question,
+           const std::function<void(const UserReply*)>& answer);
   void ask_about_nothing();
   void trouble();
   void start(Trouble kind);
--- a/tests/sim/services.cpp
+++ b/tests/sim/services.cpp
@@ -215,7 +215,7 @@
       session_began_(now),
       renewed_(now) {}
 
-void Worker::leave(const Key& key, const Held& held) {
+void Worker::leave(const Key& key, const Held& held) const {
   if (held.phase == TaskPhase::running || held.phase == TaskPhase::saving)
     hooks_.checker->off(key.first, machine_.name);
 }
--- a/tests/sim/services.h
+++ b/tests/sim/services.h
@@ -34,7 +34,7 @@
   std::size_t too_large() const { return too_large_; }
 
  private:
-  struct Entry {
+  struct Entry {  // NOLINT(bugprone-exception-escape): moving a JSON value throws nothing
     nlohmann::json value;
     std::uint64_t stamp = 0;
     std::uint64_t lease = 0;
@@ -140,13 +140,13 @@
   void start(const TaskId& task, std::uint64_t attempt, Micros now);
   void new_session(Micros now);
   /// Ends a task that is on the machine, as far as the rules see it.
-  void leave(const Key& key, const Held& held);
+  void leave(const Key& key, const Held& held) const;
 
   Cloud::Machine& machine_;
   const MachineType type_;
   const Settings& settings_;
   Hooks hooks_;
-  std::uint64_t session_ = 1, sequence_ = 0, token_ = 0, shown_token_ = 0;
+  std::uint64_t session_ = 1, sequence_ = 0, token_ = 0;
   Micros session_began_{0}, renewed_{0}, last_report_{0}, sent_{0};
   std::uint64_t sent_session_ = 0;
   bool reporting_ = false, changed_ = true;
