--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -40,10 +40,10 @@
 
 }  // namespace
 
-Daemon::Daemon(Settings settings, std::shared_ptr<spdlog::logger> log)
-    : settings_(std::move(settings)),
+Daemon::Daemon(const Settings& settings, std::shared_ptr<spdlog::logger> log)
+    : settings_(settings),
       log_(std::move(log)),
-      core_(settings_, incarnation(), random_number()),
+      core_(settings, incarnation(), random_number()),
       state_(loop_, settings.state_address, 8, kStateBody),
       cloud_(loop_, settings.cloud_address, 2, kCloudBody) {
   loop_.on_error = [this](const std::string& what) { log_->error("a task ended: {}", what); };
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -19,7 +19,7 @@
 
 class Daemon {
  public:
-  Daemon(Settings settings, std::shared_ptr<spdlog::logger> log);
+  Daemon(const Settings& settings, std::shared_ptr<spdlog::logger> log);
 
   /// Listens and serves; throws if it can't listen.
   void run();
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -35,13 +35,13 @@
   app.set_version_flag("--version", std::string("bendtide ") + BENDTIDE_VERSION);
   CLI11_PARSE(app, argc, argv);
   try {
-    bendtide::Settings settings = bendtide::load_settings(config);
+    const bendtide::Settings settings = bendtide::load_settings(config);
     if (check) {
       std::cout << config << ": good\n";
       return 0;
     }
     auto log = make_log(settings.host);
-    bendtide::Daemon daemon(std::move(settings), log);
+    bendtide::Daemon daemon(settings, log);
     daemon.run();
     return 0;
   } catch (const bendtide::ConfigError& e) {
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -61,15 +61,15 @@
   bool believable(const Part& part, const Report& report) const;
   bool was_sent_after(Micros ours) const;
   void note_lost_orders(Part& part, Machine& m);
-  static void clear_signs_of_deafness(Machine& m);
-  void add_sign_of_deafness(Part& part, Machine& m, int weight);
+  static void clear_unreachable_signs(Machine& m);
+  void add_unreachable_sign(Part& part, Machine& m, int weight);
   void note(Part& part, Machine& m, const ReportedTask& seen, std::uint64_t account);
   void ended(Part& part, Machine& m, const AttemptId& id, Placement& p, ExitCause cause);
   void failed(Part& part, Machine& m, Job& job);
   void release(Part& part, Machine& m, const AttemptId& id);
   void release_all(Part& part, Machine& m);
   std::vector<Order> orders(Part& part, Machine& m, std::uint64_t in_report);
-  std::vector<Order> strangers(const Part& part, const Report& report) const;
+  std::vector<Order> stops_for_unknown_tasks(const Part& part, const Report& report) const;
   Micros time_to_save(const Part& part, const Job& job) const;
   void begin_session(Machine& m, std::uint64_t session);
   bool urgent(const Machine& m) const;
@@ -80,6 +80,10 @@
   void resume_deferred();
   void answer(std::uint64_t request, int status, std::string redirect = {});
 
+  /// That many signs in a row show that nothing reaches a machine. One answer may always come too late.
+  static constexpr int kUnreachableSigns = 3;
+  static constexpr int kWeakSign = 1;         ///< one message seems not to have reached it
+  static constexpr int kStrongSign = 2;       ///< several can't have
   static constexpr std::size_t kTold = 1500;  ///< tasks in a word to the next holder
   static constexpr std::size_t kFailedOn = 8;
   static constexpr std::size_t kRememberedDeleted = 4096;
--- /dev/null
+++ b/src/core/fleet_commands.cpp
@@ -0,0 +1,151 @@
+// Commands: the difference between what is wanted on a machine and what it reports.
+#include "core/fleet.h"
+
+namespace bendtide {
+
+std::vector<Order> Fleet::orders(Part& part, Machine& m, std::uint64_t in_report) {
+  std::vector<Order> forgets, stops, starts;
+  for (auto& [id, p] : m.tasks) {
+    auto it = part.jobs.find(id.task.job);
+    const Job* job =
+        it == part.jobs.end() || id.task.index >= it->second.tasks.size() ? nullptr : &it->second;
+    if (p.seen == Placement::Seen::ended) {
+      // Until its end is recorded, the worker's account is the only one of a finished task. And an attempt
+      // that a late direct start may still name must stay known to the worker, or it would run again.
+      const bool recorded =
+          job == nullptr || job->ended || p.cause != ExitCause::done || job->recorded[id.task.index];
+      if (recorded && p.pinned_by == 0 && p.direct_in_flight == 0)
+        forgets.push_back({Order::Kind::forget, id.task, id.attempt, {}});
+    } else if (!p.wanted) {
+      if (p.seen == Placement::Seen::no) continue;
+      const Micros grace = job == nullptr ? Micros{0} : time_to_save(part, *job);
+      if (p.stop_since == Micros{0}) p.stop_since = cluster_.now();
+      stops.push_back({Order::Kind::stop, id.task, id.attempt, grace});
+    } else if (p.seen == Placement::Seen::no && p.direct_in_flight == 0 && starts.size() < kOrders / 2) {
+      starts.push_back({Order::Kind::start, id.task, id.attempt, {}});
+      if (in_report != 0) p.offered_in = in_report;
+    }
+  }
+  std::vector<Order> all = std::move(forgets);
+  all.insert(all.end(), stops.begin(), stops.end());
+  if (all.size() > kOrders / 2) all.resize(kOrders / 2);
+  all.insert(all.end(), starts.begin(), starts.end());
+  return all;
+}
+
+/// A task that is told to stop may save, unless its job may be cancelled: then it has to be gone in time even
+/// if its machine hangs while it saves.
+Micros Fleet::time_to_save(const Part& part, const Job& job) const {
+  const Settings& s = cluster_.context.settings;
+  if (job.ended || job.spec.checkpoint.count() == 0) return {};
+  const Micros at_most = surely_over(std::max(s.worker_lease, job.spec.save));
+  const bool in_time =
+      job.owner.empty() || cluster_.now() + at_most <= part.awards_known_at + s.cancel_within;
+  return in_time ? job.spec.save : Micros{0};
+}
+
+/// Whether something should not wait for the machine's next report.
+bool Fleet::urgent(const Machine& m) const {
+  if (!m.settled || m.unreachable_signs > 0 || m.lost_orders > 0) return true;
+  return std::any_of(m.tasks.begin(), m.tasks.end(), [](const auto& t) {
+    const Placement& p = t.second;
+    if (p.wanted) return p.seen == Placement::Seen::no && p.offered_in == 0 && p.pinned_by == 0;
+    return p.takes_room() && p.seen != Placement::Seen::no && p.stop_since == Micros{0};
+  });
+}
+
+/// Calls to machines that can't be reached last until they time out, and with hundreds of these the others'
+/// would wait for them; each takes a socket.
+std::size_t Fleet::most_direct_calls() const {
+  return std::max<std::size_t>(16, cluster_.context.settings.sockets / 12);
+}
+
+void Fleet::push_orders(Part& part) {
+  const Micros now = cluster_.now();
+  std::vector<std::string> names;
+  std::swap(names, part.push);
+  for (std::string& name : names) {
+    auto it = part.machines.find(name);
+    if (it == part.machines.end()) continue;
+    Machine& m = it->second;
+    if (direct_.size() >= most_direct_calls()) {
+      part.push.push_back(std::move(name));
+      continue;
+    }
+    m.push_due = false;
+    // A machine that is silent gets its orders with the answer to its next report.
+    if (m.direct_call || m.lost || m.condemned || m.address.empty() || !urgent(m) ||
+        (m.settled && now - m.last_heard > cluster_.context.settings.report_every * 3 / 2))
+      continue;
+    // Before all that is on it is known, it is only shown the token. Its first session is number 1.
+    std::vector<Order> list = m.settled ? orders(part, m, 0) : std::vector<Order>{};
+    Direct call{part.name, part.generation, name, part.token, now, {}};
+    for (const Order& o : list) {
+      if (o.kind != Order::Kind::start) continue;
+      AttemptId id{o.task, o.attempt};
+      call.starts.push_back(id);
+      Placement& p = m.tasks.at(id);
+      ++p.direct_in_flight;
+      p.direct_token = part.token;
+    }
+    m.direct_call = true;
+    m.told_at = m.told_at.value_or(now);
+    std::uint64_t id = next_direct_++;
+    direct_.emplace(id, std::move(call));
+    cluster_.context.act(
+        WorkerCall{id, {m.address, std::max<std::uint64_t>(m.session, 1), part.token, std::move(list)}});
+  }
+}
+
+void Fleet::probe(const std::string& address, std::function<void(bool)> done) {
+  const std::uint64_t id = next_direct_++;
+  probes_.emplace(id, std::move(done));
+  cluster_.context.act(WorkerCall{id, {address, 0, 0, {}}});
+}
+
+void Fleet::on_orders_answer(std::uint64_t call, const OrdersAnswer& answer) {
+  if (auto it = probes_.find(call); it != probes_.end()) {
+    auto done = std::move(it->second);
+    probes_.erase(it);
+    return done(answer.report.has_value());
+  }
+  auto it = direct_.find(call);
+  if (it == direct_.end()) return;
+  Direct direct = std::move(it->second);
+  direct_.erase(it);
+  Part* part = cluster_.known(direct.part, direct.generation);
+  if (part == nullptr) return;
+  auto found = part->machines.find(direct.machine);
+  if (found == part->machines.end()) return;
+  Machine& m = found->second;
+  m.direct_call = false;
+  for (const AttemptId& id : direct.starts) {
+    auto p = m.tasks.find(id);
+    if (p == m.tasks.end()) continue;
+    --p->second.direct_in_flight;
+    if (answer.outcome == OrdersAnswer::Outcome::lost) {
+      // It may be executed at any later time under this token: raise it, and wait for the worker to show
+      // that.
+      p->second.pinned_by = std::max(p->second.pinned_by, direct.token);
+      part->token_wanted = true;
+    }
+  }
+  if (answer.outcome == OrdersAnswer::Outcome::lost) {
+    m.order_lost = m.settled;
+    if (m.told_at == direct.sent_at) m.told_at.reset();
+  }
+  if (answer.report && answer.report->machine == m.name && answer.report->token <= part->token) {
+    if (!m.settled && answer.outcome == OrdersAnswer::Outcome::refused) {
+      // It is shown the token once more.
+      if (answer.report->session > m.session) begin_session(m, answer.report->session);
+    } else if (believable(*part, *answer.report) &&
+               std::pair(answer.report->session, answer.report->sequence) >
+                   std::pair(m.session, m.sequence)) {
+      apply(*part, m, *answer.report, false);
+    }
+    clear_unreachable_signs(m);  // executed or refused, the order was read there
+  }
+  if (answer.outcome != OrdersAnswer::Outcome::lost && urgent(m)) part->push_to(m);
+}
+
+}  // namespace bendtide
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -248,9 +248,8 @@
     if (!may_pass_on) return told(unsure(id));
     return ask(peers(), {0, JobQuery::Kind::submit, id, false, spec}, kPassOnWithin, std::move(told));
   }
-  if (impossible(spec)) {
-    return refuse(id, {422, id, {}, 0, 0, 0, *impossible(spec)}, std::move(told), may_pass_on);
-  }
+  if (const auto reason = impossible(spec))
+    return refuse(id, {422, id, {}, 0, 0, 0, *reason}, std::move(told), may_pass_on);
   if (auto it = being_written_.find(id); it != being_written_.end()) {
     it->second.push_back(std::move(told));
     return;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -152,7 +152,7 @@
   Micros orders_sent_at{0};          ///< when that answer was sent
   bool order_lost = false;           ///< a direct order got no answer since the last report
   int lost_orders = 0;               ///< in a row, each followed by a report
-  int unheeded = 0;                  ///< signs, in a row, that answers and commands don't reach it
+  int unreachable_signs = 0;         ///< signs, in a row, that answers and commands don't reach it
   std::optional<Micros> notice_until;
   bool condemned = false;  ///< to be deleted; nothing is placed on it any more
   bool deleting = false;
@@ -171,6 +171,8 @@
   std::map<std::string, Image> images;  ///< cached, as far as we know
 
   Resources free() const { return size - used; }
+  /// The older of its last account that was believed (it may answer a command) and its last report.
+  Micros last_contact() const { return std::min(last_heard, last_reported); }
   bool idle() const { return tasks.empty(); }
   /// Room of tasks that are going, or are expected to end by `when`.
   Resources coming_by(Micros when) const {
--- a/tests/machine_test.cpp
+++ b/tests/machine_test.cpp
@@ -72,7 +72,7 @@
       t.fleet.on_report(sequence, t.report(5, 1, sequence, false));
     t.fleet.tick();
   });
-  EXPECT_EQ(t.machine().unheeded, 0);
+  EXPECT_EQ(t.machine().unreachable_signs, 0);
   EXPECT_FALSE(t.machine().condemned);
 }
 
@@ -86,7 +86,7 @@
     job.leave_waiting(0, {Task::State::placed, &t.machine(), 7});
     t.at<LogLine>(101, [&] { t.fleet.on_report(2, t.report(10, 1, 5, false)); });
     t.at<LogLine>(next_report_at, [&] { t.fleet.on_report(3, t.report(10, 1, 6, false)); });
-    EXPECT_EQ(t.machine().unheeded, signs) << next_report_at;
+    EXPECT_EQ(t.machine().unreachable_signs, signs) << next_report_at;
   }
 }
 
@@ -103,7 +103,7 @@
       t.fleet.on_report(call, t.report(10, 1, static_cast<std::uint64_t>(moment), false));
       t.fleet.push_orders(t.part);
     });
-    EXPECT_EQ(t.machine().unheeded, signs) << moment;
+    EXPECT_EQ(t.machine().unreachable_signs, signs) << moment;
     ASSERT_EQ(calls.size(), 1u) << moment;
     call = calls[0].call;
   }
