--- a/src/core/renter.cpp
+++ b/src/core/renter.cpp
@@ -193,6 +193,7 @@
     Need need{&job, std::min<std::int64_t>(job.overflow, free->second.holds(each))};
     if (cluster_.context.settings.opportunistic(job.spec)) {
       // It has to begin all the same.
+      need.opportunistic = true;
       const bool too_long = !job.begun() && cluster_.context.wall - job.accepted > kLongestWait;
       need.spot_only = !too_long;
       if (too_long) need.tasks = std::min<std::int64_t>(need.tasks, 1);
@@ -218,7 +219,7 @@
       if (!kind) break;
       Wanted& wanted = out[*kind];
       ++wanted.count;
-      wanted.priority = std::max(wanted.priority, need.job->spec.priority);
+      wanted.opportunistic &= need.opportunistic;
       ++machines;
       Bin bin{*kind, cluster_.type(kind->type)->size};
       for (Need& other : needs) fill(bin, other);
@@ -246,11 +247,12 @@
   }
   const std::map<Kind, Wanted> wanted = demand(part);
   if (wanted.empty()) return;
-  // One at a time, as the next pass sees what this one brought: for the highest priority, and of these the
-  // largest, as orders are few.
+  // One at a time, as the next pass sees what this one brought: opportunistic work last, else the largest, as
+  // orders are few.
   const auto& [kind, most] =
       *std::max_element(wanted.begin(), wanted.end(), [](const auto& a, const auto& b) {
-        return std::pair(a.second.priority, a.second.count) < std::pair(b.second.priority, b.second.count);
+        return std::pair(!a.second.opportunistic, a.second.count) <
+               std::pair(!b.second.opportunistic, b.second.count);
       });
   order(part, next_charter(), kind, std::min(most.count, kMachinesPerOrder));
 }
--- a/src/core/renter.h
+++ b/src/core/renter.h
@@ -34,15 +34,16 @@
   void give_up_stuck(Part& part);
   void remove_condemned(Part& part);
   void look_for_strays(Part& part);
-  /// Machines of one kind that are wanted, and the highest priority of the jobs that want them.
+  /// Machines of one kind that are wanted, and whether by opportunistic work only.
   struct Wanted {
     int count = 0;
-    Priority priority = Priority::low;
+    bool opportunistic = true;
   };
   /// Tasks of a job that still need a machine.
   struct Need {
     Job* job;
     std::int64_t tasks;
+    bool opportunistic = false;
     bool spot_only = false;
   };
   /// Room of a machine that is up, that boots, or that is being added in this very pass.
