--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -64,8 +64,9 @@
 TEST_P(DayOfTwoTroubles, KeepsEveryRuleAndFinishesTheWork) {
   const auto [kind, distance] = GetParam();
   // The kinds that came later go round all: the pairs of the others stay what they were.
-  const Trouble ring =
-      kind < static_cast<int>(Trouble::late_transactions) ? Trouble::late_transactions : Trouble::count;
+  Trouble ring = Trouble::count;
+  for (const Trouble first_of_later : {Trouble::state_answers_late, Trouble::late_transactions})
+    if (kind < static_cast<int>(first_of_later)) ring = first_of_later;
   const int other = (kind + distance) % static_cast<int>(ring);
   DayPlan plan;
   plan.seed = 2000 + static_cast<std::uint64_t>(kind * 100 + distance);
--- a/tests/sim/day.cpp
+++ b/tests/sim/day.cpp
@@ -165,7 +165,12 @@
       [this, &node, to, serve, conclude] {
         auto answer_it = [this, &node, to, serve, conclude] {
           Answer answer = serve();
-          send(to, node.host, [conclude, answer] { conclude(answer); });
+          auto send_back = [this, &node, to, conclude, answer] {
+            send(to, node.host, [conclude, answer] { conclude(answer); });
+          };
+          if (to != kState || now_ >= answers_late_until_ || chance() > 0.3) return send_back();
+          ++seen_["answers of the state service held up"];
+          after(millis(30 + pick(900)), send_back);
         };
         if (to == kState && state_slowness_ > 1)
           after(Micros{static_cast<std::int64_t>(5000 * state_slowness_)}, answer_it);
@@ -422,7 +427,7 @@
     s.image = "image-" + std::to_string(pick(3));
     s.image_gb = 1.0;
     s.each = {2000, 0, 4000};
-    if (chance() < 0.3) {
+    if (chance() < (plan_.hasty_users ? 0.03 : 0.3)) {
       s.shape = Shape::service;
       s.tasks = 1;
       s.priority = Priority::high;
@@ -445,29 +450,64 @@
         s.zone = chance() < 0.5 ? "east" : "west";
       if (chance() < 0.2) s.types = {"large"};
     }
+    if (plan_.hasty_users && s.shape == Shape::array) {
+      s.tasks = static_cast<std::uint32_t>(1 + pick(3));
+      s.estimate = seconds(3 + chance() * 5);
+    }
     user->submit_at = seconds(3 + chance() * (plan_.rush ? 1 : 140));
-    if (chance() < 0.25) user->cancel_at = user->submit_at + seconds(2 + chance() * 40);
+    if (chance() < 0.25 && !plan_.hasty_users) user->cancel_at = user->submit_at + seconds(2 + chance() * 40);
     specs_[s.id] = s;
     users_.push_back(std::move(user));
   }
 }
 
-void Day::ask(const std::function<void(Controller&, std::uint64_t)>& question,
-              const std::function<void(const UserReply*)>& answer) {
-  Node* node = nodes_[static_cast<std::size_t>(pick(3))].get();
-  if (!node->up || !node->core->healthy()) {
-    for (auto& other : nodes_)
-      if (other->up && other->core->healthy()) node = other.get();
-  }
-  if (!node->up) return answer(nullptr);
+/// Open connections stay where they are; a new one goes to a healthy controller.
+Day::Node& Day::node_for_user() {
+  Node& node = *nodes_[static_cast<std::size_t>(pick(3))];
+  const bool connected = plan_.hasty_users && node.up;
+  if (connected || (node.up && node.core->healthy())) return node;
+  Node* chosen = &node;
+  for (auto& other : nodes_)
+    if (other->up && other->core->healthy()) chosen = other.get();
+  return *chosen;
+}
+
+void Day::ask(const Question& question, const Reaction& answer) { ask_at(node_for_user(), question, answer); }
+
+void Day::ask_at(Node& node, const Question& question, const Reaction& answer) {
+  if (!node.up) return answer(nullptr);
   auto open = std::make_shared<bool>(true);
   auto conclude = [open, answer](const UserReply* reply) {
     if (std::exchange(*open, false)) answer(reply);
   };
-  const std::uint64_t request = node->next_request++;
-  node->users[request] = [conclude](const UserReply& reply) { conclude(&reply); };
+  const std::uint64_t request = node.next_request++;
+  node.users[request] = [conclude](const UserReply& reply) { conclude(&reply); };
   after(seconds(2), [conclude] { conclude(nullptr); });
-  on_node(*node, node->life, [question, request](Controller& c) { question(c, request); });
+  on_node(node, node.life, [question, request](Controller& c) { question(c, request); });
+}
+
+/// What follows an acceptance at once: questions everywhere, the submission once more, and perhaps a
+/// cancellation, after which all of them are asked again.
+void Day::hurry(User& user) {
+  if (std::exchange(user.hurried, true)) return;
+  ++seen_["jobs asked about at once"];
+  look_closely(user);
+  after(millis(pick(300)), [this, &user] { submit(user, now_); });
+  if (chance() < 0.5) return;
+  ++seen_["jobs cancelled at once"];
+  after(millis(pick(300)), [this, &user] { cancel(user); });
+}
+
+void Day::look_closely(User& user) {
+  for (auto& node : nodes_) {
+    const Micros asked = now_;
+    ask_at(
+        *node, [id = user.spec.id](Controller& c, std::uint64_t r) { c.on_poll(r, id); },
+        [this, &user, asked](const UserReply* reply) {
+          if (reply != nullptr && reply->status != 503)
+            checker_.told(user.spec.id, reply->status, reply->phase, asked, now_);
+        });
+  }
 }
 
 void Day::submit(User& user, Micros since) {
@@ -479,6 +519,7 @@
           checker_.told(user.spec.id, reply->status, reply->phase, asked, now_);
           user.accepted = true;
           after(seconds(4 + chance()), [this, &user] { poll(user); });
+          if (plan_.hasty_users) hurry(user);
           if (user.cancel_at) at(std::max(now_, *user.cancel_at), [this, &user] { cancel(user); });
         } else if (now_ - since < seconds(60)) {
           after(seconds(1), [this, &user, since] { submit(user, since); });
@@ -521,6 +562,7 @@
           if (!cuts_.empty()) ++seen_["cancelled during a cut"];
           user.last = reply->phase;
           user.over = true;
+          if (plan_.hasty_users) look_closely(user);
         } else {
           if (reply != nullptr) checker_.told(user.spec.id, reply->status, reply->phase, asked, now_);
           after(seconds(1), [this, &user] { cancel(user); });
@@ -816,6 +858,9 @@
     case Trouble::meet_ends:
       ends_met_until_ = now_ + span;
       return;
+    case Trouble::state_answers_late:
+      answers_late_until_ = now_ + span;
+      return;
     case Trouble::count:
       return;
   }
--- a/tests/sim/day.h
+++ b/tests/sim/day.h
@@ -56,6 +56,8 @@
   machines_mute,        ///< they reach no controller, while orders reach them
   cancel_now,           ///< users call off jobs that run, all at once; their machines hang meanwhile
   meet_ends,            ///< users cancel, ask and submit again as the last task of their job ends
+  state_answers_late,   ///< a share of the state service's answers comes up to a second after the request was
+                        ///< served
   count
 };
 
@@ -79,6 +81,7 @@
   Micros end = seconds(330);
   int jobs = 24;
   bool rush = false;            ///< all jobs come at once
+  bool hasty_users = false;     ///< small jobs, asked about everywhere, submitted again and cancelled at once
   std::vector<Trouble> only;    ///< the kinds that it has; none: all
   std::vector<Strike> strikes;  ///< if there are any, they are all that happens
   bool zone_bound = false;      ///< every array has a rule of zones
@@ -143,6 +146,7 @@
     bool over = false;
     bool cancelling = false;
     bool end_met = false;
+    bool hurried = false;
     std::optional<JobPhase> last;
   };
 
@@ -183,11 +187,16 @@
   void boot(Cloud::Machine& machine);
   void machines_step();
   void report(Cloud::Machine& machine);
+  using Question = std::function<void(Controller&, std::uint64_t)>;
+  using Reaction = std::function<void(const UserReply*)>;
   void submit(User& user, Micros since);
   void poll(User& user);
   void cancel(User& user);
-  void ask(const std::function<void(Controller&, std::uint64_t)>& question,
-           const std::function<void(const UserReply*)>& answer);
+  void hurry(User& user);
+  void look_closely(User& user);
+  void ask(const Question& question, const Reaction& answer);
+  void ask_at(Node& node, const Question& question, const Reaction& answer);
+  Node& node_for_user();
   void ask_about_nothing();
   void trouble();
   void start(Trouble kind);
@@ -225,6 +234,7 @@
   Micros transactions_late_until_{0};
   Micros reports_late_until_{0};
   Micros ends_met_until_{0};
+  Micros answers_late_until_{0};
   bool state_out_ = false;
   std::map<std::string, std::size_t> seen_;
   std::size_t most_failures_ = 0;
