A part is not held by a record whose lease has ended

If the lease ended, was replaced, and only then the late answer to the taking came, the part was acted for under the next lease, though its record had gone with the old one; a peer could take it as well. Change: an answer to a taking, or the reading of what became of it, counts only under the lease that it was written under.

--- a/src/core/holdings.cpp
+++ b/src/core/holdings.cpp
@@ -9,6 +9,7 @@
 constexpr Micros kWordEvery = millis(1000);
 constexpr Micros kLookEvery = millis(1000);
 constexpr Micros kLookSoon = millis(300);
+constexpr Micros kLookAfterFailure = millis(200);
 constexpr Micros kTokenEvery = millis(1000);  ///< every machine has to learn each new token
 constexpr Micros kOldTokenEvery = seconds(8);
 constexpr Micros kResignFor = seconds(5);  ///< for the peer to take the part
@@ -252,31 +253,40 @@
 }
 
 void Holdings::take(const std::string& part, std::uint64_t seen_stamp) {
-  taking_.insert(part);
+  taking_[part] = lease_;
   StateCommit txn;
   txn.conditions = {{records::hold_key(part), seen_stamp}};
   txn.writes = {{records::hold_key(part),
                  records::to_json(records::Hold{cluster_.self(), cluster_.context.incarnation}), lease_}};
   cluster_.store.commit(std::move(txn), [this, part, seen_stamp](const StateAnswer& a) {
-    if (a.ok()) {
-      taking_.erase(part);
-      adopt(part, a.revision, seen_stamp);
-    } else if (a.outcome == Outcome::lost) {
-      settle_take(part);
-    } else {
-      taking_.erase(part);
-      if (a.outcome == Outcome::absent) lose_lease();
-      next_look_ = cluster_.now() + millis(200);
-    }
+    on_take_answered(part, seen_stamp, a);
   });
 }
 
+void Holdings::on_take_answered(const std::string& part, std::uint64_t seen_stamp, const StateAnswer& a) {
+  if (a.outcome == Outcome::lost) return settle_take(part);
+  const bool under_our_lease = end_take(part);
+  if (!under_our_lease) return;
+  if (a.ok()) return adopt(part, a.revision, seen_stamp);
+  if (a.outcome == Outcome::absent) lose_lease();
+  next_look_ = cluster_.now() + kLookAfterFailure;
+}
+
+bool Holdings::end_take(const std::string& part) {
+  const auto found = taking_.find(part);
+  const bool under_our_lease = found != taking_.end() && lease_ != 0 && found->second == lease_;
+  if (found != taking_.end()) taking_.erase(found);
+  if (under_our_lease) return true;
+  cluster_.context.info("part " + part + " is not taken: the lease of its record is no longer ours");
+  next_look_ = cluster_.now() + kLookAfterFailure;
+  return false;
+}
+
 void Holdings::settle_take(const std::string& part) {
   // No answer: read what became of it. A write that is applied later still shows up at the next look, as a
   // record of this process that it does not know of, and is then taken over again.
   cluster_.store.get(records::hold_key(part), [this, part](const StateAnswer& a) {
-    taking_.erase(part);
-    if (!a.ok() || a.rows.empty()) return;
+    if (!end_take(part) || !a.ok() || a.rows.empty()) return;
     auto hold = records::hold(a.rows.front().value);
     if (hold && hold->host == cluster_.self() && hold->incarnation == cluster_.context.incarnation)
       adopt(part, a.rows.front().stamp, 0);
@@ -317,12 +327,17 @@
         if (p == nullptr) return;
         p->renewing_token = false;
         if (a.ok()) {
-          p->token = a.revision;
-          cluster_.context.debug("part " + name + " raised its token to " + std::to_string(a.revision));
+          if (a.revision <= p->token)
+            cluster_.context.violated(Invariant::tokens_grow,
+                                      "part " + name + " under token " + std::to_string(p->token) +
+                                          " was written at revision " + std::to_string(a.revision));
+          p->token = std::max(p->token, a.revision);
+          cluster_.context.debug(
+              [&] { return "part " + name + " raised its token to " + std::to_string(a.revision); });
         } else {
           p->token_old = true;
           p->token_wanted = a.outcome != Outcome::conflict;
-          next_look_ = cluster_.now() + millis(200);
+          next_look_ = cluster_.now() + kLookAfterFailure;
         }
       });
 }
--- a/src/core/holdings.h
+++ b/src/core/holdings.h
@@ -29,7 +29,11 @@
   void on_routes(const StateAnswer& answer);
   void consider(const std::string& part);
   void take(const std::string& part, std::uint64_t seen_stamp);
+  void on_take_answered(const std::string& part, std::uint64_t seen_stamp, const StateAnswer& a);
   void settle_take(const std::string& part);
+  /// Ends a taking; false if the lease that the record was written under is no longer ours, so that the
+  /// record goes with it, or has gone.
+  bool end_take(const std::string& part);
   void adopt(const std::string& part, std::uint64_t token, std::uint64_t over);
   void drop(std::string part, const char* why);
   void lose_lease();
@@ -58,7 +62,7 @@
   Micros next_renewal_{0};
   bool looking_ = false;
   Micros next_look_{0};
-  std::set<std::string> taking_;
+  std::map<std::string, std::uint64_t> taking_;  ///< parts whose taking is under way, and under which lease
   std::uint64_t generations_ = 0;
   Micros next_word_{0};
   std::map<std::string, Resigned> resigned_;
--- /dev/null
+++ b/tests/holdings_test.cpp
@@ -0,0 +1,55 @@
+// Which parts a controller holds, event by event.
+
+#include "core/holdings.h"
+
+#include <gtest/gtest.h>
+
+#include "sim/hand_answered.h"
+
+namespace bendtide::sim {
+namespace {
+
+using Outcome = StateAnswer::Outcome;
+
+// The record of a holding goes with the lease that it was written under. A taking that was carried out, while
+// only its answer was late, once counted under the next lease: the part was acted for without any record.
+TEST(LateAnswer, ToATakingUnderALeaseThatHasEndedTakesNothing) {
+  for (const bool lease_ends : {true, false}) {
+    HandAnswered t;
+    t.context.settings.peers = {{"b", "z", "b:1"}};
+    Holdings holdings(
+        t.cluster, t.fleet, [](Part&) {}, [](const std::string&) {});
+    StateAnswer lease;
+    lease.outcome = Outcome::ok;
+    lease.lease = 7;
+    t.collect([&] { holdings.tick(); });
+    ASSERT_TRUE(std::holds_alternative<StateLease>(t.calls.at(0).request));
+    t.answer(0, lease);
+    t.collect([&] { holdings.on_resign({"b", 30, false, {}}); });
+    const std::size_t taking = t.calls.size() - 1;
+    ASSERT_TRUE(std::holds_alternative<StateCommit>(t.calls.at(taking).request));
+    if (lease_ends) {
+      t.context.now += t.context.settings.term() / 6;
+      t.collect([&] { holdings.tick(); });
+      const auto renewal = std::find_if(t.calls.begin(), t.calls.end(), [](const StateCall& call) {
+        return std::holds_alternative<StateRenew>(call.request);
+      });
+      ASSERT_NE(renewal, t.calls.end());
+      StateAnswer ended;
+      ended.outcome = Outcome::absent;
+      t.answer(static_cast<std::size_t>(renewal - t.calls.begin()), ended);
+      t.collect([&] { holdings.tick(); });
+      const auto next = std::find_if(t.calls.rbegin(), t.calls.rend(), [](const StateCall& call) {
+        return std::holds_alternative<StateLease>(call.request);
+      });
+      lease.lease = 8;
+      t.collect([&] { t.cluster.store.on_answer(next->call, lease); });
+      ASSERT_TRUE(t.cluster.acting());
+    }
+    t.answer(taking, written(31));
+    EXPECT_EQ(t.cluster.parts.contains("b"), !lease_ends);
+  }
+}
+
+}  // namespace
+}  // namespace bendtide::sim
