--- /dev/null
+++ b/lab/controllers.cpp
@@ -0,0 +1,150 @@
+#include "controllers.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+
+namespace bendtide::lab {
+
+namespace {
+
+constexpr Micros kWatchEvery = millis(100);
+constexpr int kExecFailed = 127;
+constexpr mode_t kLogMode = 0644;
+
+/// In the child: becomes the controller, with its log appended to a file, and ends with the laboratory.
+[[noreturn]] void become(const std::string& program, const std::string& settings, const std::string& log) {
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kLogMode);
+  if (file >= 0) ::dup2(file, STDERR_FILENO);
+  ::setenv("LOG_LEVEL", "debug", 1);
+  ::execl(program.c_str(), program.c_str(), "--config", settings.c_str(), static_cast<char*>(nullptr));
+  ::_exit(kExecFailed);
+}
+
+}  // namespace
+
+Controllers::Controllers(Laboratory& lab) : lab_(lab) {
+  for (int from = 0; from < kControllers; ++from) {
+    write_settings(from);
+    for (int to = 0; to < kControllers; ++to)
+      if (from != to)
+        links_.at(static_cast<std::size_t>(from * kControllers + to)) =
+            std::make_unique<LinkProxy>(lab.loop, lab.address(Laboratory::peer_link_port(from, to)),
+                                        lab.address(Laboratory::internal_port(to)));
+  }
+}
+
+Controllers::~Controllers() {
+  for (int i = 0; i < kControllers; ++i) kill(i);
+}
+
+void Controllers::run() {
+  for (const auto& link : links_)
+    if (link) lab_.loop.spawn(link->run());
+  for (int i = 0; i < kControllers; ++i) start(i);
+  lab_.loop.spawn(watch());
+}
+
+std::string Controllers::settings_file(int controller) const {
+  return lab_.plan.directory + "/" + Laboratory::host(controller) + ".toml";
+}
+
+std::string Controllers::log_file(int controller) const {
+  return lab_.plan.directory + "/" + Laboratory::host(controller) + ".log";
+}
+
+void Controllers::write_settings(int controller) const {
+  const Settings& s = lab_.settings;
+  const double limit_factor = lab_.plan.planted == PlantedFault::exceed_limits ? 10 : 1;
+  constexpr double kPerCpu = 1000;
+  std::ofstream out(settings_file(controller));
+  out << "host_name = \"" << Laboratory::host(controller) << "\"\n"
+      << "domain = \"" << Laboratory::zone(controller) << "\"\n"
+      << "api_addr = \"" << lab_.address(Laboratory::user_port(controller)) << "\"\n"
+      << "internal_addr = \"" << lab_.address(Laboratory::internal_port(controller)) << "\"\n";
+  for (int peer = 0; peer < kControllers; ++peer)
+    if (peer != controller)
+      out << "[[known]]\nhost_name = \"" << Laboratory::host(peer) << "\"\ndomain = \""
+          << Laboratory::zone(peer) << "\"\nendpoint = \""
+          << lab_.address(Laboratory::peer_link_port(controller, peer)) << "\"\n";
+  out << "[external]\ncloud = \"" << lab_.address(Laboratory::cloud_port()) << "\"\nstate = \""
+      << lab_.address(Laboratory::state_link_port(controller)) << "\"\n"
+      << "[settings]\nsize = " << kControllers << "\nzones = [\"east\", \"west\"]\n";
+  for (const Team& team : s.teams)
+    out << "[[settings.teams]]\nname = \"" << team.name
+        << "\"\ncpus = " << static_cast<double>(team.guarantee.cpu) / kPerCpu
+        << "\ncpus_max = " << static_cast<double>(team.limit.cpu) * limit_factor / kPerCpu << "\n";
+  out << "[settings.workers]\nreport_s = " << in_seconds(s.report_every)
+      << "\nlease_s = " << in_seconds(s.worker_lease) << "\ncancel_s = " << in_seconds(s.cancel_within)
+      << "\n[settings.state]\nrps = " << s.state_calls_per_s << "\nwrite_rps = " << s.state_writes_per_s
+      << "\nvalue_kb = " << s.state_value_bytes / 1024 << "\ntxn_ops = " << s.state_transaction_writes
+      << "\n[settings.cloud]\nrps = " << s.cloud_calls_per_s
+      << "\nlist_lag_s = " << in_seconds(s.cloud_list_lag)
+      << "\n[settings.machine_limits]\ncores = 1.0\nmemory_mb = 256.0\nsockets = " << s.sockets << "\n";
+}
+
+void Controllers::start(int controller) {
+  if (is_running(controller)) return;
+  const pid_t pid = ::fork();
+  if (pid == 0) become(lab_.plan.program, settings_file(controller), log_file(controller));
+  if (pid < 0) throw std::runtime_error("a controller can't be started");
+  at(controller) = {pid, false};
+  lab_.history.add(Laboratory::host(controller) + ": is started");
+}
+
+void Controllers::kill(int controller) {
+  Process& process = at(controller);
+  if (process.pid <= 0) return;
+  ::kill(process.pid, SIGKILL);
+  ::waitpid(process.pid, nullptr, 0);
+  process = {};
+  lab_.history.add(Laboratory::host(controller) + ": is killed");
+}
+
+void Controllers::pause(int controller) {
+  Process& process = at(controller);
+  if (process.pid <= 0 || process.paused) return;
+  ::kill(process.pid, SIGSTOP);
+  process.paused = true;
+  lab_.history.add(Laboratory::host(controller) + ": stands still");
+}
+
+void Controllers::resume(int controller) {
+  Process& process = at(controller);
+  if (process.pid <= 0 || !process.paused) return;
+  ::kill(process.pid, SIGCONT);
+  process.paused = false;
+  lab_.history.add(Laboratory::host(controller) + ": goes on");
+}
+
+io::Task<> Controllers::watch() {
+  while (!lab_.closing) {
+    for (int i = 0; i < kControllers; ++i) {
+      Process& process = at(i);
+      if (process.pid <= 0 || ::waitpid(process.pid, nullptr, WNOHANG) != process.pid) continue;
+      process = {};
+      ++unexpected_ends_;
+      lab_.history.add(Laboratory::host(i) + ": has ended by itself");
+      start(i);
+    }
+    co_await lab_.loop.sleep(kWatchEvery);
+  }
+}
+
+std::vector<std::string> Controllers::errors(int controller) const {
+  const std::string level = " " + Laboratory::host(controller) + " error ";
+  std::vector<std::string> out;
+  std::ifstream log(log_file(controller));
+  for (std::string line; std::getline(log, line);)
+    if (line.find(level) != std::string::npos || line.find("Sanitizer") != std::string::npos)
+      out.push_back(line);
+  return out;
+}
+
+}  // namespace bendtide::lab
--- /dev/null
+++ b/lab/controllers.h
@@ -0,0 +1,57 @@
+// The controllers as real processes: their settings files, their links to each other, their starts and ends.
+#pragma once
+
+#include <sys/types.h>
+
+#include <array>
+#include <memory>
+#include <vector>
+
+#include "laboratory.h"
+#include "link_proxy.h"
+
+namespace bendtide::lab {
+
+class Controllers {
+ public:
+  explicit Controllers(Laboratory& lab);
+  /// Ends all processes that still run.
+  ~Controllers();
+  Controllers(const Controllers&) = delete;
+  Controllers& operator=(const Controllers&) = delete;
+  void run();
+
+  void start(int controller);
+  /// Without a signal that it could handle.
+  void kill(int controller);
+  bool is_running(int controller) const { return at(controller).pid > 0; }
+  /// Stands still, while its clocks run on.
+  void pause(int controller);
+  void resume(int controller);
+  /// What one controller says to another.
+  LinkProxy& link(int from, int to) { return *links_.at(static_cast<std::size_t>(from * kControllers + to)); }
+
+  /// How often a process ended that nobody had killed.
+  int unexpected_ends() const { return unexpected_ends_; }
+  std::string log_file(int controller) const;
+  /// Lines of the log with the level `error`.
+  std::vector<std::string> errors(int controller) const;
+
+ private:
+  struct Process {
+    pid_t pid = 0;
+    bool paused = false;
+  };
+  Process& at(int controller) { return processes_.at(static_cast<std::size_t>(controller)); }
+  const Process& at(int controller) const { return processes_.at(static_cast<std::size_t>(controller)); }
+  std::string settings_file(int controller) const;
+  void write_settings(int controller) const;
+  io::Task<> watch();
+
+  Laboratory& lab_;
+  std::array<Process, kControllers> processes_{};
+  std::array<std::unique_ptr<LinkProxy>, kControllers * kControllers> links_;
+  int unexpected_ends_ = 0;
+};
+
+}  // namespace bendtide::lab
--- /dev/null
+++ b/lab/http_call.h
@@ -0,0 +1,19 @@
+// One HTTP request on a connection of its own.
+#pragma once
+
+#include "io/http_client.h"
+
+namespace bendtide::lab {
+
+struct HttpCall {
+  std::string address;
+  std::string method;
+  std::string target;
+  std::string body;
+  Micros within{0};
+};
+
+/// GCC 12 destroys some temporaries of a co_await expression twice: callers name the call and move it here.
+io::Task<io::HttpClient::Result> perform(io::Loop& loop, HttpCall call);
+
+}  // namespace bendtide::lab
--- a/tests/sim/services.cpp
+++ b/tests/sim/services.cpp
@@ -142,6 +142,7 @@
   std::snprintf(name, sizeof name, "n-%06llu", static_cast<unsigned long long>(next_++));
   Machine& m = machines_[name];
   m.name = name;
+  m.address = m.name + ":9000";
   m.type = type;
   m.zone = zone;
   m.spot = spot;
@@ -195,7 +196,7 @@
   json rows = json::array();
   for (const auto& [name, m] : machines_)
     rows.push_back({{kUid, name},
-                    {kAddress, name + ":9000"},
+                    {kAddress, m.address},
                     {kType, m.type},
                     {kZone, m.zone},
                     {kSpot, m.spot},
@@ -276,7 +277,7 @@
 Report Worker::status(Micros) {
   Report r;
   r.machine = machine_.name;
-  r.address = machine_.name + ":9000";
+  r.address = machine_.address;
   r.type = machine_.type;
   r.zone = machine_.zone;
   r.spot = machine_.spot;
--- a/tests/sim/services.h
+++ b/tests/sim/services.h
@@ -64,6 +64,7 @@
  public:
   struct Machine {
     std::string name, type, zone;
+    std::string address;  ///< of its worker
     bool spot = false;
     Micros rented{0};
     std::unique_ptr<Worker> worker;
