--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -69,7 +69,7 @@
   void release(Part& part, Machine& m, const AttemptId& id);
   void release_all(Part& part, Machine& m);
   std::vector<Order> orders(Part& part, Machine& m, std::uint64_t in_report);
-  bool may_send_start(const Part& part, const Job* job, const AttemptId& id);
+  bool may_send_start(Part& part, Job* job, const AttemptId& id);
   void log_orders(const Part& part, const Machine& m, const std::vector<Order>& sent,
                   const std::string& how) const;
   std::vector<Order> stops_for_unknown_tasks(const Part& part, const Report& report) const;
--- a/src/core/fleet_commands.cpp
+++ b/src/core/fleet_commands.cpp
@@ -7,8 +7,7 @@
   std::vector<Order> forgets, stops, starts;
   for (auto& [id, p] : m.tasks) {
     auto it = part.jobs.find(id.task.job);
-    const Job* job =
-        it == part.jobs.end() || id.task.index >= it->second.tasks.size() ? nullptr : &it->second;
+    Job* job = it == part.jobs.end() || id.task.index >= it->second.tasks.size() ? nullptr : &it->second;
     if (p.seen == Placement::Seen::ended) {
       // Until its end is recorded, the worker's account is the only one of a finished task. And an attempt
       // that a late direct start may still name must stay known to the worker, or it would run again.
@@ -36,13 +35,16 @@
 
 /// The last look at a start before it goes out: it was placed a while ago, and its job may be over since.
 /// While the last write of a job is under way, its user may have been told already by a peer that read it.
-bool Fleet::may_send_start(const Part& part, const Job* job, const AttemptId& id) {
-  if (job == nullptr || job->ended || job->finalizing) return false;
+/// And an award that was last read too long ago may have been taken back: direct commands once went out for
+/// it as an outage ended, before anything else had looked.
+bool Fleet::may_send_start(Part& part, Job* job, const AttemptId& id) {
+  if (job == nullptr || job->ended || job->finalizing || part.in_doubt(*job, cluster_.now())) return false;
   if (!cluster_.history.is_over(id.task.job)) return true;
   cluster_.context.violated(Invariant::finished_job_stays_off,
                             id.task.job + "/" + std::to_string(id.task.index) + " attempt " +
                                 std::to_string(id.attempt) + " was to be started by part " + part.name +
                                 " under token " + std::to_string(part.token) + ", but its job is over");
+  part.end(*job);
   return false;
 }
 
--- a/tests/late_answer_test.cpp
+++ b/tests/late_answer_test.cpp
@@ -120,8 +120,8 @@
 }
 
 // Its user may have been told by a peer that read the record, before the answer to the write is here.
-TEST(Start, IsNotSentWhileTheLastWriteOfItsJobIsUnderWayNorAfterIt) {
-  for (const char* what : {"under way", "over", "known to be over"}) {
+TEST(Start, IsNotSentOnceItsJobMayBeOver) {
+  for (const char* what : {"under way", "over", "known to be over", "awarded and in doubt"}) {
     HandAnswered t;
     Job& job = t.add_job();
     t.at<LogLine>(100.5, [&] { t.fleet.on_report(1, t.report(10, 1, 4, false)); });
@@ -130,10 +130,20 @@
     const std::string now = what;
     if (now == "under way") job.finalizing = true;
     if (now == "over") t.part.end(job);
+    if (now == "awarded and in doubt") {
+      job.owner = "b";
+      t.part.awards_known(seconds(91), seconds(10));
+    }
     if (now == "known to be over") t.cluster.history.learn_final(kTask.job, {}, t.context.now);
     const auto answers = t.at<AnswerWorker>(102, [&] { t.fleet.on_report(2, t.report(10, 1, 5, false)); });
     ASSERT_EQ(answers.size(), 1u);
     EXPECT_TRUE(answers[0].reply.orders.empty()) << what;
+    t.machine().direct_call = false;
+    t.machine().lost_orders = 1;  // so that it is asked directly
+    t.part.push_to(t.machine());
+    const auto calls = t.at<WorkerCall>(102.1, [&] { t.fleet.push_orders(t.part); });
+    ASSERT_EQ(calls.size(), 1u);
+    EXPECT_TRUE(calls[0].request.orders.empty()) << what;
     EXPECT_EQ(t.context.invariants.total(), now == "known to be over" ? 1u : 0u);
   }
 }
