--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -1,4 +1,5 @@
-// Jobs as users know them: accepting, answering, cancelling, and recording what finished.
+// Jobs as users know them. Each file has one responsibility: jobs_submission, jobs_status, jobs_peers,
+// jobs_ending and jobs_recording.
 #pragma once
 
 #include <deque>
@@ -30,71 +31,84 @@
   void learn(const records::LiveJob& record);
 
  private:
-  struct Known {
+  struct JobStatus {
     JobPhase phase = JobPhase::pending;
     std::uint64_t done = 0;
     std::uint64_t running = 0;
   };
   /// Gets the answer for the user, or for the peer that asks for its own.
-  using Told = std::function<void(const UserReply&)>;
-  struct Asked {
+  using ReplyCallback = std::function<void(const UserReply&)>;
+  struct PendingQuestion {
     Micros until{0};
     std::size_t outstanding = 0;
-    Told told;
+    ReplyCallback respond;
   };
   /// A submission on its way into the state service, and everybody who waits for it.
-  struct Accepting {
+  struct Submission {
     records::LiveJob record;
-    std::vector<Told> told;
+    std::vector<ReplyCallback> callbacks;
   };
   /// Submissions that share one write.
   struct Batch {
     std::string part;
     std::uint64_t generation = 0;
     Micros asked{0};  ///< when the write was handed over
-    std::vector<Accepting> jobs;
+    std::vector<Submission> jobs;
   };
 
-  Told to_user(std::uint64_t request);
+  ReplyCallback to_user(std::uint64_t request);
   /// The last look at an answer before it goes out: nobody is told less than what is known to be final.
   UserReply never_older(const UserReply& reply);
-  static UserReply known_reply(const std::string& id, const Known& known, int status = 200);
+  static UserReply known_reply(const std::string& id, const JobStatus& known, int status = 200);
   static UserReply absent(const std::string& id);
-  static UserReply unsure(const std::string& id, int retry_after_s = 1);
+  static UserReply unavailable(const std::string& id, int retry_after_s = 1);
 
   /// What this controller may say of a job on its own: final, or ours under a term that still runs.
-  std::optional<Known> from_memory(const std::string& id) const;
+  std::optional<JobStatus> from_memory(const std::string& id) const;
   /// Whether our own part can't take jobs now, or can't write that it does.
   bool can_accept() const;
 
   // The same for users and for peers that pass their users' requests on; only the former may be passed on.
-  void submit(const JobSpec& spec, Told told, bool may_pass_on);
-  void poll(const std::string& id, Told told, bool may_pass_on);
+  void submit(const JobSpec& spec, ReplyCallback respond, bool may_pass_on);
+  void poll(const std::string& id, ReplyCallback respond, bool may_pass_on);
   /// Polls about one job that is not known here, from users (may be passed on) or from peers.
   struct SharedPoll {
     std::string id;
     bool may_pass_on = false;
     auto operator<=>(const SharedPoll&) const = default;
   };
-  void find_out(const SharedPoll& poll, std::vector<Told> askers);
-  void found_out(const SharedPoll& poll);
-  void cancel(const std::string& id, const Told& told, bool may_pass_on);
+  void ask_holder_or_read(const SharedPoll& poll, std::vector<ReplyCallback> askers);
+  void answer_those_who_waited(const SharedPoll& poll);
+  void cancel(const std::string& id, const ReplyCallback& respond, bool may_pass_on);
 
-  void read_and_tell(const std::string& id, const Told& told, bool may_pass_on);
+  /// A question that the records of a job are to answer.
+  struct JobRead {
+    std::string job;
+    Micros asked{0};
+    bool may_pass_on = false;
+    ReplyCallback respond;
+  };
+  void read_and_tell(const std::string& id, const ReplyCallback& respond, bool may_pass_on);
+  void on_live_record(const JobRead& read, const StateAnswer& a);
+  void on_final_record(const JobRead& read, const StateAnswer& a);
+  void on_record_unreadable(const JobRead& read);
   /// Asks peers; the first good answer counts, and none of them is "unsure".
-  void ask(const std::vector<std::string>& hosts, JobQuery query, Micros within, Told told);
+  void ask(const std::vector<std::string>& hosts, JobQuery query, Micros within, ReplyCallback respond);
   std::vector<std::string> peers() const;
+  void give_up_late_questions();
   /// The reason why a job can never run here, if it can't.
   std::optional<std::string> impossible(const JobSpec& spec) const;
 
-  void refuse(const std::string& id, UserReply refusal, Told told, bool may_pass_on);
+  void refuse(const std::string& id, UserReply refusal, ReplyCallback respond, bool may_pass_on);
   void write_accepted(Part& part);
   void on_accepted(Batch batch, const StateAnswer& a);
-  void accepted(Accepting& one, const Batch& batch, const StateAnswer& a);
+  void accepted(Submission& one, const Batch& batch, const StateAnswer& a);
   void not_accepted(Batch& batch, const StateAnswer& a);
+  void give_up_queued_submissions();
   /// Loads a job that was found unfinished by a request made at `asked`, if that may still be acted on.
   Job* load_if_current(Part& part, const records::LiveJob& record, Micros asked);
-  void finalize(Part& part, Job& job, JobPhase phase, const Told& told);
+  void end_finished_jobs(Part& part);
+  void finalize(Part& part, Job& job, JobPhase phase, const ReplyCallback& respond);
   /// The last write of a job, tried until its outcome is known.
   struct FinalWrite {
     std::string part;
@@ -103,11 +117,11 @@
     JobPhase phase = JobPhase::done;
     bool outcome_unknown = false;  ///< an earlier try got no answer
   };
-  void write_final(const FinalWrite& write, const Told& told);
-  void on_final_written(const FinalWrite& write, const StateAnswer& a, const Told& told);
+  void write_final(const FinalWrite& write, const ReplyCallback& respond);
+  void on_final_written(const FinalWrite& write, const StateAnswer& a, const ReplyCallback& respond);
   /// The state service holds a final state already: that one counts, whatever this controller believes.
-  void read_final(const FinalWrite& write, const Told& told);
-  void conclude(const FinalWrite& write, JobPhase phase, const Told& told);
+  void read_final(const FinalWrite& write, const ReplyCallback& respond);
+  void conclude(const FinalWrite& write, JobPhase phase, const ReplyCallback& respond);
   void settle(Part& part);
 
   /// Tasks of one chunk whose end is being recorded.
@@ -117,6 +131,9 @@
     std::vector<std::uint32_t> tasks;
   };
   void record(Part& part);
+  void mark_slots_to_write(Part& part) const;
+  static records::DoneBits done_bits(const Job& job, std::uint32_t chunk, std::vector<Recorded>& batch);
+  static std::vector<records::DoneBits> slot_value(Part& part, DoneSlot& slot, std::vector<Recorded>& batch);
   DoneSlot& slot_for(Part& part, const Job& job, std::uint32_t chunk) const;
   void on_recorded(Part& part, const std::vector<Recorded>& batch, const std::vector<std::uint32_t>& slots,
                    const StateAnswer& a);
@@ -125,19 +142,22 @@
   void reread(Part& part);
 
   static constexpr std::size_t kRoutesRemembered = 4096;
+  /// For peers to answer what is passed on to them.
+  static constexpr Micros kPassOnWithin = seconds(1.2);
   static constexpr std::size_t kQuestions = 512;
-  static constexpr std::size_t kAcceptWrites = 2;
+  static constexpr std::size_t kAcceptanceWrites = 2;
 
   Cluster& cluster_;
   Hooks hooks_;
   std::map<std::string, std::string> part_of_;
   /// Polls under way, and who has asked the same since: these wait for the next.
-  std::map<SharedPoll, std::vector<Told>> shared_polls_;
-  std::map<std::uint64_t, Asked> asked_;
+  std::map<SharedPoll, std::vector<ReplyCallback>> shared_polls_;
+  std::map<std::uint64_t, PendingQuestion> pending_questions_;
   std::uint64_t next_question_;
-  std::deque<Accepting> accepting_;                         ///< not written yet
-  std::map<std::string, std::vector<Told>> being_written_;  ///< who asked again meanwhile, by job
-  std::size_t accept_writes_ = 0;
+  std::deque<Submission> queued_submissions_;  ///< not written yet
+  std::map<std::string, std::vector<ReplyCallback>>
+      submissions_in_flight_;  ///< who asked again meanwhile, by job
+  std::size_t acceptance_writes_ = 0;
 };
 
 }  // namespace bendtide
