--- a/lab/controllers.cpp
+++ b/lab/controllers.cpp
@@ -16,6 +16,11 @@
 constexpr Micros kWatchEvery = millis(100);
 constexpr int kExecFailed = 127;
 constexpr mode_t kLogMode = 0644;
+constexpr double kPerCpu = 1000;  ///< amounts are thousandths
+
+std::size_t link_index(int from, int to) {
+  return static_cast<std::size_t>(from) * kControllers + static_cast<std::size_t>(to);
+}
 
 /// In the child: becomes the controller, with its log appended to a file, and ends with the laboratory.
 [[noreturn]] void become(const std::string& program, const std::string& settings, const std::string& log) {
@@ -34,7 +39,7 @@
     write_settings(from);
     for (int to = 0; to < kControllers; ++to)
       if (from != to)
-        links_.at(static_cast<std::size_t>(from * kControllers + to)) =
+        links_.at(link_index(from, to)) =
             std::make_unique<LinkProxy>(lab.loop, lab.address(Laboratory::peer_link_port(from, to)),
                                         lab.address(Laboratory::internal_port(to)));
   }
@@ -51,6 +56,8 @@
   lab_.loop.spawn(watch());
 }
 
+LinkProxy& Controllers::link(int from, int to) { return *links_.at(link_index(from, to)); }
+
 std::string Controllers::settings_file(int controller) const {
   return lab_.plan.directory + "/" + Laboratory::host(controller) + ".toml";
 }
@@ -62,7 +69,6 @@
 void Controllers::write_settings(int controller) const {
   const Settings& s = lab_.settings;
   const double limit_factor = lab_.plan.planted == PlantedFault::exceed_limits ? 10 : 1;
-  constexpr double kPerCpu = 1000;
   std::ofstream out(settings_file(controller));
   out << "host_name = \"" << Laboratory::host(controller) << "\"\n"
       << "domain = \"" << Laboratory::zone(controller) << "\"\n"
--- a/lab/controllers.h
+++ b/lab/controllers.h
@@ -29,7 +29,7 @@
   void pause(int controller);
   void resume(int controller);
   /// What one controller says to another.
-  LinkProxy& link(int from, int to) { return *links_.at(static_cast<std::size_t>(from * kControllers + to)); }
+  LinkProxy& link(int from, int to);
 
   /// How often a process ended that nobody had killed.
   int unexpected_ends() const { return unexpected_ends_; }
--- a/lab/fault_injector.cpp
+++ b/lab/fault_injector.cpp
@@ -6,7 +6,12 @@
 
 constexpr double kShareOfSlowAnswers = 0.04;  ///< at all times, "now and then a few hundred" milliseconds
 constexpr double kSlowAnswerSeconds = 0.4;
-constexpr double kLongestPause = 5;  ///< seconds between two faults
+constexpr double kShareInSlowSpell = 0.3;
+constexpr double kSlowSpellSeconds = 0.95;  ///< within a controller's patience of a second
+constexpr double kLongestPause = 5;         ///< seconds between two faults
+constexpr double kShareOfMachines = 0.25;   ///< that a fault of machines strikes
+constexpr Micros kLatestCommand = seconds(10);
+constexpr int kMostCancelled = 6;
 
 }  // namespace
 
@@ -140,9 +145,8 @@
 }
 
 void FaultInjector::slow_state_answers() {
-  constexpr double kShare = 0.3, kLongest = 0.95;  // within a controller's patience of a second
   for_a_while(
-      4, 12, [&] { set_state_latency(kShare, kLongest); },
+      4, 12, [&] { set_state_latency(kShareInSlowSpell, kSlowSpellSeconds); },
       [this] { set_state_latency(kShareOfSlowAnswers, kSlowAnswerSeconds); });
 }
 
@@ -189,9 +193,8 @@
 
 void FaultInjector::with_some_machines(double from_seconds, double to_seconds,
                                        const std::function<void(sim::Worker&, bool)>& set) {
-  constexpr double kShare = 0.25;
   for (const std::string& name : workers_.up()) {
-    if (lab_.chance() > kShare) continue;
+    if (lab_.chance() > kShareOfMachines) continue;
     auto change = [this, name, set](bool on) {
       if (sim::Worker* worker = workers_.worker(name)) set(*worker, on);
     };
@@ -218,9 +221,9 @@
 }
 
 void FaultInjector::late_commands() {
-  constexpr Micros kMost = seconds(10);
   for_a_while(
-      4, 10, [&] { workers_.set_late_commands(kMost); }, [this] { workers_.set_late_commands(Micros{0}); });
+      4, 10, [&] { workers_.set_late_commands(kLatestCommand); },
+      [this] { workers_.set_late_commands(Micros{0}); });
 }
 
 void FaultInjector::cloud_outage() {
@@ -228,9 +231,6 @@
       2, 10, [&] { workers_.set_cloud_outage(true); }, [this] { workers_.set_cloud_outage(false); });
 }
 
-void FaultInjector::cancel_some() {
-  constexpr int kMost = 6;
-  users_.cancel_some(1 + lab_.pick(kMost));
-}
+void FaultInjector::cancel_some() { users_.cancel_some(1 + lab_.pick(kMostCancelled)); }
 
 }  // namespace bendtide::lab
--- a/lab/http_call.cpp
+++ b/lab/http_call.cpp
@@ -2,8 +2,13 @@
 
 namespace bendtide::lab {
 
+namespace {
+
+constexpr std::size_t kLongestBody = 512 * 1024;
+
+}  // namespace
+
 io::Task<io::HttpClient::Result> perform(io::Loop& loop, HttpCall call) {
-  constexpr std::size_t kLongestBody = 512 * 1024;
   io::HttpClient client(loop, call.address, 0, kLongestBody);
   co_return co_await client.call(std::move(call.method), std::move(call.target), std::move(call.body),
                                  call.within);
--- a/lab/soak.cpp
+++ b/lab/soak.cpp
@@ -6,9 +6,17 @@
 
 namespace {
 
+constexpr Micros kLookEvery = millis(100);
 constexpr Micros kMetricsWithin = seconds(2);
 constexpr char kViolations[] = "bendtide_invariant_violations{";
 
+std::string labelled(const std::string& label, const std::string& what) {
+  std::string out = label;
+  out += ": ";
+  out += what;
+  return out;
+}
+
 /// Counters of violated invariants that are not zero, as the metrics show them.
 std::vector<std::string> violations_in(const std::string& metrics) {
   std::vector<std::string> out;
@@ -43,7 +51,6 @@
 }
 
 io::Task<> Soak::stop_at_the_end() {
-  constexpr Micros kLookEvery = millis(100);
   const Micros end = lab_.plan.faults_for + lab_.plan.settle_for;
   bool calm = false;
   while (lab_.now() < end && !is_over()) {
@@ -76,18 +83,20 @@
   lab_.checker.end();
   for (const auto& [rule, cases] : lab_.checker.broken()) {
     verdict.broken_rules.push_back(rule);
-    for (const std::string& what : cases) verdict.faults.push_back(rule + ": " + what);
+    for (const std::string& what : cases) verdict.faults.push_back(labelled(rule, what));
   }
-  for (const std::string& what : users_.unfinished()) verdict.faults.push_back("unfinished: " + what);
+  for (const std::string& what : users_.unfinished()) verdict.faults.push_back(labelled("unfinished", what));
   if (controllers_.unexpected_ends() > 0)
     verdict.faults.push_back("controllers that ended by themselves: " +
                              std::to_string(controllers_.unexpected_ends()));
   for (int i = 0; i < kControllers; ++i) {
     const std::string& metrics = metrics_.at(static_cast<std::size_t>(i));
-    if (metrics.empty()) verdict.faults.push_back(Laboratory::host(i) + " shows no metrics at the end");
+    std::string silent = Laboratory::host(i);
+    silent += " shows no metrics at the end";
+    if (metrics.empty()) verdict.faults.push_back(silent);
     for (const std::string& line : violations_in(metrics)) verdict.faults.push_back(line);
     for (const std::string& line : controllers_.errors(i))
-      verdict.faults.push_back("error in a log: " + line);
+      verdict.faults.push_back(labelled("in a log", line));
   }
   std::ostringstream summary;
   summary << users_.accepted() << " of " << users_.submitted() << " jobs accepted, " << users_.answers()
--- a/lab/soak_main.cpp
+++ b/lab/soak_main.cpp
@@ -16,6 +16,12 @@
 using bendtide::lab::PlantedFault;
 using bendtide::lab::Verdict;
 
+constexpr std::size_t kShown = 20;  ///< faults; the rest is counted
+// Where no port is given, the process takes one of so many ranges.
+constexpr int kFirstPort = 10'000;
+constexpr int kPortRanges = 400;
+constexpr int kPortsInRange = 40;
+
 const std::map<std::string, PlantedFault>& planted_faults() {
   static const std::map<std::string, PlantedFault> all{{"none", PlantedFault::none},
                                                        {"start_twice", PlantedFault::start_twice},
@@ -45,7 +51,6 @@
 };
 
 bendtide::lab::Plan plan_of(const Options& options) {
-  constexpr int kFirstPort = 10'000, kSlots = 400, kPortsEach = 40;
   bendtide::lab::Plan plan;
   plan.seed = options.seed;
   plan.faults_for = bendtide::seconds(options.duration);
@@ -57,7 +62,8 @@
   plan.expected_rule = options.expect;
   plan.program = options.program;
   plan.directory = options.directory;
-  plan.base_port = options.base_port != 0 ? options.base_port : kFirstPort + ::getpid() % kSlots * kPortsEach;
+  plan.base_port =
+      options.base_port != 0 ? options.base_port : kFirstPort + ::getpid() % kPortRanges * kPortsInRange;
   return plan;
 }
 
@@ -75,7 +81,6 @@
     std::filesystem::remove_all(options.directory);
     return 0;
   }
-  constexpr std::size_t kShown = 20;
   for (std::size_t i = 0; i < std::min(kShown, verdict.faults.size()); ++i)
     std::cout << "FAULT " << verdict.faults[i] << "\n";
   const std::string history = options.directory + "/history.txt";
--- a/lab/worker_fleet.cpp
+++ b/lab/worker_fleet.cpp
@@ -16,6 +16,7 @@
 constexpr Micros kUnreachable = seconds(3);  ///< longer than any controller waits for an answer
 constexpr int kAddressesInBlock = 250;
 constexpr int kMachinesAtStart = 6;
+constexpr std::uint64_t kHigherToken = 1'000'000;  ///< than any that a controller holds
 constexpr double kShareOfLateCommands = 0.2;
 constexpr double kShareOfLateReports = 0.3;
 
@@ -145,7 +146,6 @@
 
 /// Shows another machine the same orders, under a token that it must accept.
 void WorkerFleet::start_elsewhere(const std::string& machine, const json& message) {
-  constexpr std::uint64_t kHigherToken = 1'000'000;
   for (const std::string& other : up()) {
     if (other == machine) continue;
     json copy = message;
--- a/src/core/contract.cpp
+++ b/src/core/contract.cpp
@@ -65,8 +65,8 @@
     auto it = part.jobs.find(id.task.job);
     if (!p.wanted || it == part.jobs.end() || !part.in_doubt(it->second, cluster_.now())) continue;
     part.change(m, id, p, [](Placement& q) { q.wanted = false; });
-    cluster_.context.debug([&] {
-      return id.task.job + "/" + std::to_string(id.task.index) + " is not wanted on " + m.name +
+    cluster_.context.debug([&m, task = id.task] {
+      return task.job + "/" + std::to_string(task.index) + " is not wanted on " + m.name +
              " any more: its award was last read too long ago";
     });
     part.push_to(m);
--- a/src/core/renter.cpp
+++ b/src/core/renter.cpp
@@ -298,7 +298,7 @@
     }
     if (now - m.idle_since < idle || cluster_.context.wall - m.rented < kLeastPaid) continue;
     m.condemned = true;
-    cluster_.context.debug([&] { return "machine " + name + " is idle: it is returned"; });
+    cluster_.context.debug([&m = m] { return "machine " + m.name + " is idle: it is returned"; });
   }
 }
 
--- a/src/core/scheduler.cpp
+++ b/src/core/scheduler.cpp
@@ -361,9 +361,9 @@
       if (!may_stop(loser)) continue;
       part.change(*r.machine, *id, *p, [](Placement& q) { q.wanted = false; });
       part.push_to(*r.machine);
-      cluster_.context.debug([&] {
-        return "task of " + id->task.job + " on " + r.machine->name + " makes room for " + job.spec.id +
-               (loser.spec.priority < job.spec.priority ? "" : " (guarantee)");
+      cluster_.context.debug([&, task = id->task] {
+        return task.job + "/" + std::to_string(task.index) + " on " + r.machine->name + " makes room for " +
+               job.spec.id + (loser.spec.priority < job.spec.priority ? "" : " (guarantee)");
       });
       r.coming += p->each;
       left.try_emplace(loser.spec.team, part.used(loser.spec.team)).first->second -= quota_of(p->each);
--- a/src/core/store.cpp
+++ b/src/core/store.cpp
@@ -6,6 +6,7 @@
 
 /// Each controller keeps to an equal slice, a little below it: the others' clocks drift against ours.
 constexpr double kSlice = 0.9;
+constexpr std::size_t kRowsShown = 4;  ///< of an answer, in the log
 
 /// A request as the log shows it: its keys carry the ids of jobs and the names of parts.
 std::string describe(const StateRequest& request) {
@@ -29,7 +30,6 @@
 }
 
 std::string describe(const StateAnswer& answer) {
-  constexpr std::size_t kRowsShown = 4;
   std::string out;
   switch (answer.outcome) {
     case StateAnswer::Outcome::ok:
