--- a/lab/soak.cpp
+++ b/lab/soak.cpp
@@ -91,9 +91,8 @@
                              std::to_string(controllers_.unexpected_ends()));
   for (int i = 0; i < kControllers; ++i) {
     const std::string& metrics = metrics_.at(static_cast<std::size_t>(i));
-    std::string silent = Laboratory::host(i);
-    silent += " shows no metrics at the end";
-    if (metrics.empty()) verdict.faults.push_back(silent);
+    if (metrics.empty())
+      verdict.faults.push_back(labelled(Laboratory::host(i), "shows no metrics at the end"));
     for (const std::string& line : violations_in(metrics)) verdict.faults.push_back(line);
     for (const std::string& line : controllers_.errors(i))
       verdict.faults.push_back(labelled("in a log", line));
--- a/src/core/cluster.h
+++ b/src/core/cluster.h
@@ -107,6 +107,22 @@
     return false;
   }
 
+  /// A job is over, as was written, read or said by a peer (then it is not known how): nothing of it goes on
+  /// in any part held here, its own or one that it was awarded to. False if it is known to have ended
+  /// otherwise.
+  bool learn_end(const std::string& job, const std::optional<FinalState>& state) {
+    bool agrees = true;
+    if (state)
+      agrees = history.learn_final(job, *state, now());
+    else
+      history.learn_over(job, now());
+    for (auto& [name, part] : parts) {
+      const auto found = part.jobs.find(job);
+      if (found != part.jobs.end()) part.end(found->second);
+    }
+    return agrees;
+  }
+
   Condition holds(const Part& p) const { return {records::hold_key(p.name), p.token}; }
 };
 
--- a/src/core/contract.cpp
+++ b/src/core/contract.cpp
@@ -462,13 +462,7 @@
   part->room_stale = true;
 }
 
-void ContractNet::on_ended(const Ended& ended) {
-  cluster_.history.learn_over(ended.job, cluster_.now());
-  for (auto& [name, part] : cluster_.parts) {
-    auto it = part.jobs.find(ended.job);
-    if (it != part.jobs.end() && !it->second.owner.empty()) part.end(it->second);
-  }
-}
+void ContractNet::on_ended(const Ended& ended) { cluster_.learn_end(ended.job, std::nullopt); }
 
 void ContractNet::read_room(Part& part) {
   part.room_busy = true;
--- a/src/core/jobs_status.cpp
+++ b/src/core/jobs_status.cpp
@@ -48,7 +48,7 @@
 
 void Jobs::remember(const std::string& id, const FinalState& state) {
   part_of_.erase(id);
-  if (cluster_.history.learn_final(id, state, cluster_.now())) return;
+  if (cluster_.learn_end(id, state)) return;
   cluster_.context.violated(Invariant::final_state_stays,
                             id + " is known as " + to_text(cluster_.history.final_state(id)->phase) +
                                 " and now found " + to_text(state.phase));
--- a/tests/late_answer_test.cpp
+++ b/tests/late_answer_test.cpp
@@ -51,6 +51,24 @@
   }
 }
 
+// Found by the soak: the winner of an award read, for a repeated submission, that the job is cancelled,
+// before its owner's word came; the task placed here would have been started but for the last look at starts.
+TEST(FinalState, ThatIsReadEndsWhatWasAwardedHere) {
+  HandAnswered t;
+  Job& job = t.add_job();
+  job.owner = "b";
+  t.part.awards_known(t.context.now, seconds(10));
+  t.collect([&] { t.jobs.on_malformed(1, kTask.job, "a repeat"); });
+  StateAnswer absent;
+  absent.outcome = Outcome::absent;
+  t.answer(0, absent);
+  t.answer(
+      1, found(records::job_key(kTask.job), records::to_json(records::JobEntry{JobPhase::cancelled, 1}), 15));
+  ASSERT_EQ(t.replies.size(), 1u);
+  EXPECT_EQ(t.replies[0].phase, JobPhase::cancelled);
+  EXPECT_TRUE(job.ended);
+}
+
 // A record that was asked for before the part was taken: an earlier holder may have ended the job since.
 TEST(LateAnswer, FromBeforeThePartWasTakenIsNotActedOn) {
   HandAnswered t;
