--- a/src/core/jobs_submission.cpp
+++ b/src/core/jobs_submission.cpp
@@ -148,7 +148,8 @@
                         one.record.spec.team + ", in part " + batch.part + " at revision " +
                         std::to_string(a.revision));
   Part* part = cluster_.known(batch.part, batch.generation);
-  if (part != nullptr) load_if_current(*part, one.record, batch.asked);
+  if (part != nullptr && load_if_current(*part, one.record, batch.asked) == nullptr)
+    part->next_reread = std::min(part->next_reread, cluster_.now() + kRereadSoon);
   const std::optional<JobStatus> known = from_memory(id);
   for (ReplyCallback& respond : one.callbacks) {
     if (known)
@@ -174,7 +175,7 @@
     const std::string& id = one.record.spec.id;
     if (a.outcome == Outcome::conflict &&
         (batch.jobs.size() == 1 || failed(records::live_key(id)) || failed(records::job_key(id)))) {
-      // JobStatus already, or the part is no longer ours.
+      // Known already, or the part is no longer ours.
       for (ReplyCallback& respond : one.callbacks)
         read_and_tell(
             id, [respond, id](const UserReply& r) { respond(r.status == 404 ? unavailable(id) : r); }, true);
