review: case 1, two leaders of one shard after a hand-over

Cause: after an acquisition without answer, a controller takes any lease record of its own process as proof that it was carried out, also the one from before it gave the shard up. It leads again without having written anything, while the next leader's transaction, which compares the same revision, can still succeed.

Change: a case in which the state service refuses a leader alone for 3.5 s and two transactions of the hand-over are carried out late.

--- a/review/stand/stand.cpp
+++ b/review/stand/stand.cpp
@@ -159,7 +159,7 @@
     tasks.push_back(std::move(entry));
   }
   return {{"helm", name_},       {"address", address_}, {"hull", hull_},   {"berth", berth_},
-          {"driftwood", false},  {"watch", watch_},     {"tick", ++tick_}, {"baton", baton_},
+          {"driftwood", spot},   {"watch", watch_},     {"tick", ++tick_}, {"baton", baton_},
           {"warningS", nullptr}, {"shards", tasks}};
 }
 
@@ -557,11 +557,30 @@
     if (lower_writes_ && !lower_writes_->try_take(now(), static_cast<double>(writes.size())))
       co_return HttpReply{429, "{}"};
   }
+  if (request.target == "/multi" && late_write && late_write(controller, request.body)) {
+    const std::size_t number = late_writes.size();
+    late_writes.push_back({controller, request.body, now(), false});
+    record("state service: transaction " + std::to_string(number) + " of " + host(controller) +
+           " gets no answer: " + request.body);
+    while (!late_writes[number].carried_out) co_await sleep(0.1);
+    co_return HttpReply{503, "{}"};  // its sender has given up
+  }
   const bendtide::wire::HttpRequest call{request.method, request.target, request.body};
   const auto response = store_->handle(call, now());
+  if (state_done) state_done(controller, request.target, request.body, response.status);
   co_return HttpReply{response.status, response.body};
 }
 
+void Stand::carry_out(std::size_t number) {
+  LateWrite& write = late_writes.at(number);
+  if (write.carried_out) return;
+  write.carried_out = true;
+  const auto response = store_->handle({"POST", "/multi", write.body}, now());
+  record("state service: transaction " + std::to_string(number) + " of " + host(write.controller) +
+         " is carried out " + std::to_string(in_seconds(now() - write.sent_at)) +
+         " s late: " + std::to_string(response.status) + " " + response.body);
+}
+
 // ---- cloud -----------------------------------------------------------------------------------------
 
 const Hull* Stand::hull(const std::string& label) const {
@@ -598,6 +617,7 @@
   auto& worker = workers_[name];
   worker =
       std::make_unique<Worker>(*this, name, found->second.hull, found->second.berth, found->second.address);
+  worker->spot = found->second.spot;
   worker->start();
 }
 
@@ -626,12 +646,13 @@
     const auto label = body.at("hull").get<std::string>();
     const Hull* type = hull(label);
     if (type == nullptr) co_return HttpReply{400, R"({"error":"malformed"})"};
+    const bool spot = body.at("driftwood").get<bool>();
     json names = json::array();
-    for (int i = 0; i < body.at("howMany").get<int>() && !body.at("driftwood").get<bool>(); ++i) {
+    for (int i = 0; i < body.at("howMany").get<int>(); ++i) {
       int existing = 0;
-      for (const auto& [name, helm] : helms_) existing += helm.hull == label ? 1 : 0;
-      if (existing >= type->capacity) break;
-      const std::string name = rent(label, body.at("berth").get<std::string>(), false);
+      for (const auto& [name, helm] : helms_) existing += helm.hull == label && helm.spot == spot ? 1 : 0;
+      if (existing >= (spot ? type->spot_capacity : type->capacity)) break;
+      const std::string name = rent(label, body.at("berth").get<std::string>(), spot);
       names.push_back(name);
       loop.spawn(boot(name, type->boot_s));
     }
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -66,6 +66,7 @@
   double boot_s = 1.5;  ///< what it really takes ("at times machines are up within a second or two")
   int capacity = 0;     ///< ordinary machines of the type that can exist at once, over all zones
   std::vector<std::string> berths{"bkk-a"};
+  int spot_capacity = 0;  ///< the same for cheap (spot) machines
 };
 
 struct JobState {
@@ -106,6 +107,7 @@
   const std::string& berth() const { return berth_; }
   const std::string& address() const { return address_; }
   bool stopped() const { return stopped_; }
+  bool spot = false;  ///< a cheap machine
   /// Called with each report before it is sent; may be empty.
   std::function<void(const json&)> on_report;
   bool deaf = false;           ///< answers and direct commands do not reach it
@@ -191,7 +193,22 @@
   /// Cuts controller `i` from the state service, and from the other controllers; packets are held.
   void cut_from_state(int i, bool on);
   void cut_from_peers(int i, bool on);
+  /// Called before each request; a status other than 0 is the answer, and the request is not executed.
   std::function<int(int controller, const std::string& target, const std::string& body)> state_fault;
+  /// Called after each request that was executed, with its status.
+  std::function<void(int controller, const std::string& target, const std::string& body, int status)>
+      state_done;
+  /// Called for each transaction: true if it gets no answer and is carried out late, by carry_out().
+  std::function<bool(int controller, const std::string& body)> late_write;
+  /// Carries out the transaction that was held back as number `number`, counted from 0.
+  void carry_out(std::size_t number);
+  struct LateWrite {
+    int controller = 0;
+    std::string body;
+    Micros sent_at{0};
+    bool carried_out = false;
+  };
+  std::vector<LateWrite> late_writes;
 
   // ---- cloud and machines
   Worker& add_machine(const std::string& hull, const std::string& berth);
