--- a/review/stand/stand.cpp
+++ b/review/stand/stand.cpp
@@ -14,6 +14,8 @@
 #include <fstream>
 #include <sstream>
 
+#include "wire/names.h"
+
 extern char** environ;  // NOLINT
 
 namespace review {
@@ -34,6 +36,7 @@
 constexpr int kWorkerPort = 30;
 constexpr int kPorts = 31;
 constexpr double kFetchGbPerS = 10;
+const std::string kJobPath = std::string(bendtide::wire::names::kJobsPath) + "/";
 
 std::string job_of(const std::string& task) { return task.substr(0, task.find('/')); }
 
@@ -784,7 +787,7 @@
 }
 
 Task<Answer> Stand::poll(std::string uid, int controller) {
-  const Answer answer = co_await call(controller, "GET", "/work/" + uid, "", 2);
+  const Answer answer = co_await call(controller, "GET", kJobPath + uid, "", 2);
   JobState& state = jobs_.at(uid);
   if (answer.status == 200) {
     state.phase = answer.phase();
@@ -794,7 +797,7 @@
 }
 
 Task<Answer> Stand::cancel_once(std::string uid, int controller) {
-  const Answer answer = co_await call(controller, "POST", "/work/" + uid + "/cancel", "{}", 5);
+  const Answer answer = co_await call(controller, "POST", kJobPath + uid + "/cancel", "{}", 5);
   JobState& state = jobs_.at(uid);
   if (answer.status == 200 && answer.phase() == "cancelled" && !state.cancelled) state.cancelled = now();
   if (answer.status == 200 && answer.phase() == "done" && !state.done) state.done = now();
