ShardAcquisition: a lease record from an earlier term proves no acquisition

Cause: a leader released its shard to a peer, wanted it back, and got no response to its transaction. It read the lease record, found its own record from before the release, still at the revision that the transaction was to replace, and led again without having written anything. The peer's late transaction, which compares that revision, was then applied.

Change: a record that is read after an acquisition without response proves the acquisition only if it is newer than the record to be replaced and newer than the last token under which this process led the shard. No other record can have been released to a peer. Any other outcome lists the records again at once. A controller to which a shard was released acquires it again as long as the lease record is unchanged; it used to give up after one transaction without response, and nobody led the shard until the former leader took it back 5 s later.

--- a/src/core/leases/lease_transfer.cpp
+++ b/src/core/leases/lease_transfer.cpp
@@ -73,6 +73,12 @@
   handovers_[transfer.shard] = transfer;
 }
 
+bool LeaseTransfers::is_released_at(const std::string& shard, Revision lease_record) const {
+  const auto handover = handovers_.find(shard);
+  return handover != handovers_.end() &&
+         lease_record_revision(handover->second.fencing_token) == lease_record;
+}
+
 bool LeaseTransfers::received_within(const std::string& shard, Micros span) const {
   const auto found = received_.find(shard);
   return found != received_.end() && state_.now() - found->second < span;
--- a/src/core/leases/lease_transfer.h
+++ b/src/core/leases/lease_transfer.h
@@ -38,6 +38,10 @@
 
   /// Records that a peer has transferred a shard to this controller, which is about to acquire it.
   void on_received(const LeaseTransfer& transfer);
+  /// Returns whether a peer released the shard to this controller while the lease record had this revision. A
+  /// leader rewrites the record before it leads the shard again, so nobody leads the shard while the record
+  /// still has this revision.
+  bool is_released_at(const std::string& shard, Revision lease_record) const;
   /// Returns whether a peer that could not serve the shard transferred it to this controller less than `span`
   /// ago.
   bool received_within(const std::string& shard, Micros span) const;
--- a/src/core/leases/shard_acquisition.cpp
+++ b/src/core/leases/shard_acquisition.cpp
@@ -39,11 +39,26 @@
 }
 
 void ShardAcquisition::on_record_read(const Acquisition& acquisition, const StoreResponse& response) {
-  if (!finish(acquisition) || !response.ok() || response.entries.empty()) return;
+  if (!finish(acquisition)) return;
+  if (!response.ok() || response.entries.empty()) return hooks_.failed();
   const KeyValue& entry = response.entries.front();
+  if (!shows_leadership(acquisition, entry)) return hooks_.failed();
+  hooks_.acquired(acquisition.shard, fencing_token_of(entry.revision), FencingToken{});
+}
+
+bool ShardAcquisition::shows_leadership(const Acquisition& acquisition, const KeyValue& entry) const {
   const auto record = records::read_lease_record(entry.value);
-  if (record && is_written_by_this_process(state_, *record))
-    hooks_.acquired(acquisition.shard, fencing_token_of(entry.revision), FencingToken{});
+  if (!record || !is_written_by_this_process(state_, *record)) return false;
+  if (entry.revision <= acquisition.expected_revision) return false;
+  // A record from an earlier term may have been released to a peer, whose transaction that replaces it may
+  // still be applied.
+  const auto last_token = last_tokens_.find(acquisition.shard);
+  return last_token == last_tokens_.end() || fencing_token_of(entry.revision) > last_token->second;
+}
+
+void ShardAcquisition::on_term_ended(const std::string& shard, FencingToken last_token) {
+  FencingToken& highest = last_tokens_[shard];
+  highest = std::max(highest, last_token);
 }
 
 bool ShardAcquisition::finish(const Acquisition& acquisition) {
--- a/src/core/leases/shard_acquisition.h
+++ b/src/core/leases/shard_acquisition.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <set>
 
 #include "core/leases/store_lease.h"
@@ -32,12 +33,17 @@
   /// `expected_revision`.
   void start(const std::string& shard, Revision expected_revision);
   bool in_flight(const std::string& shard) const { return in_flight_.contains(shard); }
+  /// Records that this process no longer leads the shard, which it led under `last_token`.
+  void on_term_ended(const std::string& shard, FencingToken last_token);
 
  private:
   void on_written(const Acquisition& acquisition, const StoreResponse& response);
   /// Reads the lease record after a write whose outcome is unknown.
   void read_record(const Acquisition& acquisition);
   void on_record_read(const Acquisition& acquisition, const StoreResponse& response);
+  /// Returns whether the lease record shows that an acquisition by this process was applied and that no peer
+  /// can replace the record.
+  bool shows_leadership(const Acquisition& acquisition, const KeyValue& entry) const;
   /// Ends an acquisition. Returns false if its store lease has ended: the key-value store has removed the
   /// lease record, or will remove it, together with that lease.
   [[nodiscard]] bool finish(const Acquisition& acquisition);
@@ -45,7 +51,8 @@
   ControllerState& state_;
   StoreLease& store_lease_;
   Hooks hooks_;
-  std::set<std::string> in_flight_;  ///< shards that are being acquired
+  std::set<std::string> in_flight_;                  ///< shards that are being acquired
+  std::map<std::string, FencingToken> last_tokens_;  ///< of the latest ended term of this process, by shard
 };
 
 }  // namespace bendtide
--- a/src/core/leases/shard_leases.cpp
+++ b/src/core/leases/shard_leases.cpp
@@ -121,8 +121,10 @@
 
 void ShardLeases::acquire_if_eligible(const std::string& shard) {
   if (!state_.lease_valid() || !store_lease_.is_granted()) return;
-  if (acquisition_.in_flight(shard) || state_.shards.contains(shard) || transfers_.is_held_off(shard)) return;
+  if (acquisition_.in_flight(shard) || state_.shards.contains(shard)) return;
   const ShardRoute& route = state_.routes[shard];
+  if (transfers_.is_released_at(shard, route.revision)) return acquisition_.start(shard, route.revision);
+  if (transfers_.is_held_off(shard)) return;
   if (route.revision == 0) {
     if (shard != state_.own_host() && state_.now() - route.absent_since < acquisition_delay(shard, route))
       return;
@@ -200,6 +202,7 @@
 
 void ShardLeases::lose_shard(const std::string& name, std::string_view why) {
   state_.context.info(LogMessage("shard lost").shard(name).reason(why));
+  acquisition_.on_term_ended(name, state_.shards.at(name).fencing_token);
   state_.shards.erase(name);
   on_lost_(name);
 }
