A lost response to a lease record write no longer locks a leader's writes

Seen by callers: after one lost answer a controller could write nothing any more.

Cause: three mechanisms locked each other. (1) The response to the write that advances the fencing token was lost. Every list showed the new token (hold/helm-0@23 in the log of the case, while the leader compared 2), but it was not read from there while an advance was marked as in flight. (2) The next advance was so marked while it was queued behind high-priority transactions, and was never sent. (3) Those were final states that compared the old token, conflicted (662 times in 73 s), and were repeated unchanged, which took the whole write budget.

Change, one for each class: - The token is read from every list of the lease records; a lost shard is noticed too while an advance is in flight. tokens_grow compares with the token that the write replaced, as a list may show the new one before the response. - All writes for a shard go through ControllerState::commit_fenced. The token compared is that of the moment of sending, so an advance does not make queued writes conflict. After a conflict at the lease record nothing is sent under that token until the record has been read. Submissions wait for that, and are written again if their controller advanced its token meanwhile; they used to get 503. - Requests for lease records have a queue of their own that goes first. Transactions of normal and low priority are delayed for at most 2 and 10 s by higher ones. Completed jobs leave room in the queue for the requests of users.

--- a/src/core/controller/shard_loader.cpp
+++ b/src/core/controller/shard_loader.cpp
@@ -101,9 +101,9 @@
     allocation.quota_shares[team.name] = {share(team.limit.cpu), share(team.limit.gpu)};
   const std::string key = records::quota_key(load.shard);
   Transaction transaction;
-  transaction.compares = {state_.fenced_by(shard), {key, 0}};
+  transaction.compares = {{key, 0}};
   transaction.writes = {{key, records::to_json(allocation), 0}};
-  state_.store.commit(std::move(transaction), [this, load](const StoreResponse& response) {
+  state_.commit_fenced(shard, std::move(transaction), [this, load](const StoreResponse& response) {
     on_quota_allocation_created(load, response);
   });
 }
--- a/src/core/jobs/final_state_writer.cpp
+++ b/src/core/jobs/final_state_writer.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Micros kRetryInterval = millis(300);
+/// Completed jobs beyond this number do not fill the queue, which must have room for requests of users.
+constexpr std::size_t kMaxQueuedTransactions = 64;
 
 void ignore_reply(const UserReply&) {}
 
@@ -22,6 +24,7 @@
 void FinalStateWriter::end_finished_jobs(Shard& shard) {
   for (auto& [id, job] : shard.jobs) {
     if (!is_finished(job) || job.finalizing || job.ended || state_.now() < job.retry_at) continue;
+    if (state_.store.queued_transactions(RequestPriority::high) >= kMaxQueuedTransactions) return;
     job.retry_at = state_.now() + kRetryInterval;
     finalize(shard, job, JobPhase::done, ignore_reply);
   }
@@ -43,18 +46,17 @@
 void FinalStateWriter::write(const FinalWrite& write, const ReplyCallback& respond) {
   const Job* job = job_of(write);
   if (job == nullptr) return respond(replies::unavailable(write.job));
-  const Shard& shard = *state_.shard_in_term(write.shard, write.leadership_term);
   const std::string final_key = records::final_job_key(write.job);
   const records::FinalJob record{write.phase, static_cast<std::uint32_t>(job->tasks.size())};
   Transaction transaction;
-  transaction.compares = {state_.fenced_by(shard), {final_key, 0}};
+  transaction.compares = {{final_key, 0}};
   transaction.writes = {{final_key, records::to_json(record), 0},
                         {records::live_key(write.job), std::nullopt, 0}};
   // The same transaction removes the job's award records. Each winner stops the tasks once a read shows that
   // the award is gone.
   for (const auto& [key, winner] : job->awards) transaction.writes.push_back({key, std::nullopt, 0});
-  state_.store.commit(
-      std::move(transaction),
+  state_.commit_fenced(
+      *state_.shard_in_term(write.shard, write.leadership_term), std::move(transaction),
       [this, write, respond](const StoreResponse& response) { on_written(write, response, respond); },
       RequestPriority::high);
 }
--- a/src/core/jobs/finished_task_recorder.cpp
+++ b/src/core/jobs/finished_task_recorder.cpp
@@ -38,7 +38,6 @@
   if (!shard.finished_tasks_write.due(state_.now())) return;
   mark_slots_to_write(shard);
   Batch batch;
-  batch.transaction.compares = {state_.fenced_by(shard)};
   for (auto& [number, slot] : shard.finished_task_slots) {
     if (!slot.dirty || batch.slots.size() >= state_.context.settings.store_transaction_writes) continue;
     if (slot.outcome_unknown) return read_slot(shard, number);
@@ -123,12 +122,12 @@
 void FinishedTaskRecorder::write(Shard& shard, Batch batch) {
   shard.finished_tasks_write.begin();
   Transaction transaction = std::move(batch.transaction);
-  state_.store.commit(std::move(transaction),
-                      [this, name = shard.name, leadership_term = shard.leadership_term,
-                       batch = std::move(batch)](const StoreResponse& response) {
-                        Shard* current = state_.shard_in_term(name, leadership_term);
-                        if (current != nullptr) on_written(*current, batch, response);
-                      });
+  state_.commit_fenced(shard, std::move(transaction),
+                       [this, name = shard.name, leadership_term = shard.leadership_term,
+                        batch = std::move(batch)](const StoreResponse& response) {
+                         Shard* current = state_.shard_in_term(name, leadership_term);
+                         if (current != nullptr) on_written(*current, batch, response);
+                       });
 }
 
 void FinishedTaskRecorder::on_written(Shard& shard, const Batch& batch, const StoreResponse& response) {
--- a/src/core/jobs/submissions.cpp
+++ b/src/core/jobs/submissions.cpp
@@ -79,13 +79,13 @@
 
 void Submissions::write_queued() {
   const Shard* shard = state_.ready_shard(state_.own_host());
-  if (shard == nullptr) return;
-  while (!queued_.empty() && writes_in_flight_ < kMaxWritesInFlight) {
+  while (shard != nullptr && !shard->is_fence_superseded() && !queued_.empty() &&
+         writes_in_flight_ < kMaxWritesInFlight) {
     Batch batch = take_batch(*shard);
-    Transaction transaction = transaction_for(*shard, batch);
+    Transaction transaction = transaction_for(batch);
     ++writes_in_flight_;
-    state_.store.commit(
-        std::move(transaction),
+    state_.commit_fenced(
+        *shard, std::move(transaction),
         [this, batch = std::move(batch)](const StoreResponse& response) mutable {
           --writes_in_flight_;
           on_written(std::move(batch), response);
@@ -109,9 +109,8 @@
 
 /// Returns a transaction that accepts either all jobs of the batch or none. It fails if any of them already
 /// has a record, unfinished or final.
-Transaction Submissions::transaction_for(const Shard& shard, const Batch& batch) const {
+Transaction Submissions::transaction_for(const Batch& batch) {
   Transaction transaction;
-  transaction.compares = {state_.fenced_by(shard)};
   for (const Submission& submission : batch.submissions) {
     const std::string& job = submission.record.spec.id;
     transaction.compares.push_back({records::live_key(job), 0});
@@ -163,24 +162,23 @@
   Shard* shard = state_.shard_in_term(batch.shard, batch.leadership_term);
   // Without a response, the jobs may have been accepted or may still be.
   if (response.outcome == Outcome::unknown && shard != nullptr) reader_.read_soon(*shard);
-  const bool only_jobs_conflicted =
-      conflict && !response.failed.empty() && !response.condition_failed_on(records::lease_key(batch.shard));
+  const bool conflict_explained = conflict && !response.failed.empty();
   for (Submission& submission : batch.submissions) {
     const std::string& job = submission.record.spec.id;
-    const bool may_be_accepted = batch.submissions.size() == 1 ||
-                                 response.condition_failed_on(records::live_key(job)) ||
-                                 response.condition_failed_on(records::final_job_key(job));
-    if (conflict && may_be_accepted) {
+    const bool job_conflicted = response.condition_failed_on(records::live_key(job)) ||
+                                response.condition_failed_on(records::final_job_key(job));
+    if (job_conflicted || (conflict && !conflict_explained)) {
       reply_from_records(submission);
-    } else if (only_jobs_conflicted) {
-      queued_.push_front(std::move(submission));  // only another job of the batch caused the conflict
+    } else if (conflict && shard != nullptr) {
+      // Another job of the batch caused the conflict, or this controller rewrote its lease record meanwhile.
+      queued_.push_front(std::move(submission));
     } else {
       for (const ReplyCallback& respond : submission.callbacks) respond(replies::unavailable(job));
     }
   }
 }
 
-/// Called if the job was accepted earlier, or this controller no longer leads the shard.
+/// Called if the job was accepted earlier, or may have been.
 void Submissions::reply_from_records(const Submission& submission) {
   const std::string& job = submission.record.spec.id;
   for (const ReplyCallback& respond : submission.callbacks)
--- a/src/core/jobs/submissions.h
+++ b/src/core/jobs/submissions.h
@@ -65,7 +65,7 @@
   std::size_t max_queued() const;
 
   Batch take_batch(const Shard& shard);
-  Transaction transaction_for(const Shard& shard, const Batch& batch) const;
+  static Transaction transaction_for(const Batch& batch);
   void on_written(Batch batch, const StoreResponse& response);
   void accept(Submission& submission, const Batch& batch, const StoreResponse& response);
   void on_not_written(Batch& batch, const StoreResponse& response);
--- a/src/core/kvstore/key_value_client.cpp
+++ b/src/core/kvstore/key_value_client.cpp
@@ -12,6 +12,17 @@
 constexpr double kBurstSeconds = 0.5;     ///< seconds of an equal share that may be sent in one burst
 constexpr double kMinRequestBurst = 2.0;  ///< the smallest burst of requests
 
+/// How long transactions of normal and low priority can be delayed by those of higher priority before one of
+/// them is sent first.
+constexpr Micros kMaxNormalDelay = seconds(2);
+constexpr Micros kMaxLowDelay = seconds(10);
+
+StoreResponse refused_response() {
+  StoreResponse refused;
+  refused.outcome = StoreResponse::Outcome::refused;
+  return refused;
+}
+
 double rate_share(double per_second, const Settings& settings) {
   return kRateMargin * per_second / static_cast<double>(settings.controllers());
 }
@@ -34,8 +45,10 @@
   enqueue(reads_, GetKey{std::move(key)}, std::move(callback));
 }
 
-void KeyValueClient::commit(Transaction transaction, Callback callback, RequestPriority priority) {
-  enqueue(transactions_[static_cast<std::size_t>(priority)], std::move(transaction), std::move(callback));
+void KeyValueClient::commit(Transaction transaction, Callback callback, RequestPriority priority,
+                            BeforeSend before_send) {
+  enqueue(transactions_[static_cast<std::size_t>(priority)], std::move(transaction), std::move(callback),
+          std::move(before_send));
 }
 
 void KeyValueClient::grant_lease(Micros term, Callback callback) {
@@ -47,19 +60,24 @@
 }
 
 void KeyValueClient::list(std::string prefix, Callback callback) {
-  list_page(std::move(prefix), "", {}, std::move(callback));
+  list_page(reads_, std::move(prefix), "", {}, std::move(callback));
+}
+
+void KeyValueClient::list_leases(std::string prefix, Callback callback) {
+  Queue& queue = transactions_[static_cast<std::size_t>(RequestPriority::lease)];
+  list_page(queue, std::move(prefix), "", {}, std::move(callback));
 }
 
-void KeyValueClient::list_page(std::string prefix, std::string after, std::vector<KeyValue> entries,
-                               Callback callback) {
+void KeyValueClient::list_page(Queue& queue, std::string prefix, std::string after,
+                               std::vector<KeyValue> entries, Callback callback) {
   ListPrefix page{prefix, std::move(after)};
-  enqueue(reads_, std::move(page),
-          [this, prefix = std::move(prefix), entries = std::move(entries),
+  enqueue(queue, std::move(page),
+          [this, &queue, prefix = std::move(prefix), entries = std::move(entries),
            callback = std::move(callback)](const StoreResponse& response) mutable {
             if (!response.ok()) return callback(response);
             for (const KeyValue& entry : response.entries) entries.push_back(entry);
             if (response.more && !response.entries.empty())
-              return list_page(std::move(prefix), response.entries.back().key, std::move(entries),
+              return list_page(queue, std::move(prefix), response.entries.back().key, std::move(entries),
                                std::move(callback));
             StoreResponse all_pages;
             all_pages.outcome = StoreResponse::Outcome::ok;
@@ -69,14 +87,11 @@
           });
 }
 
-void KeyValueClient::enqueue(Queue& queue, StoreRequest request, Callback callback) {
+void KeyValueClient::enqueue(Queue& queue, StoreRequest request, Callback callback, BeforeSend before_send) {
   // While the key-value store is failing, a longer queue would only contain requests that wait for a timeout.
-  if (queue.size() >= (failing() ? kInFlightLimit : kQueueLimit)) {
-    StoreResponse refused;
-    refused.outcome = StoreResponse::Outcome::refused;
-    return callback(refused);
-  }
-  queue.push_back({std::move(request), std::move(callback)});
+  if (queue.requests.size() >= (failing() ? kInFlightLimit : kQueueLimit))
+    return callback(refused_response());
+  queue.requests.push_back({std::move(request), std::move(callback), std::move(before_send), context_.now});
   send_queued();
 }
 
@@ -84,29 +99,63 @@
   if (queue.empty() || in_flight_.size() >= kInFlightLimit || !requests_.has_tokens(context_.now))
     return false;
   double writes = 0;
-  if (const auto* transaction = std::get_if<Transaction>(&queue.front().request))
-    writes = static_cast<double>(transaction->writes.size());
+  auto* transaction = std::get_if<Transaction>(&queue.requests.front().request);
+  if (transaction != nullptr) writes = static_cast<double>(transaction->writes.size());
   if (writes > 0 && !writes_.has_tokens(context_.now, std::min(writes + reserve, write_burst_))) return false;
+  Pending next = std::move(queue.requests.front());
+  queue.requests.pop_front();
+  if (next.before_send && !next.before_send(std::get<Transaction>(next.request))) {
+    next.callback(refused_response());
+    return true;
+  }
   requests_.try_take(context_.now);
   writes_.try_take(context_.now, writes);
-  Pending next = std::move(queue.front());
-  queue.pop_front();
+  queue.last_sent_at = context_.now;
   send(std::move(next));
   return true;
 }
 
 void KeyValueClient::send_queued() {
-  // A transaction that exceeds the current budget delays transactions of lower priority, but not reads. Lower
-  // priorities leave part of the budget for a burst of transactions of higher priority.
-  auto& [high, normal, low] = transactions_;
-  const double normal_reserve = write_burst_ / 8;
-  const double low_reserve = write_burst_ / 3;
-  for (;;) {
-    if (send_next(high, 0)) continue;
-    if (high.empty() && send_next(normal, normal_reserve)) continue;
-    if (high.empty() && normal.empty() && send_next(low, low_reserve)) continue;
-    if (!send_next(reads_, 0)) return;
+  // A transaction that exceeds the current budget delays all other transactions, but not reads.
+  while (send_next_transaction() || send_next(reads_, 0)) {
+  }
+}
+
+bool KeyValueClient::send_next_transaction() {
+  const std::optional<RequestPriority> priority = next_priority();
+  if (!priority) return false;
+  // Lower priorities leave part of the budget for a burst of transactions of higher priority.
+  double reserve = 0;
+  if (*priority == RequestPriority::normal) reserve = write_burst_ / 8;
+  if (*priority == RequestPriority::low) reserve = write_burst_ / 3;
+  if (is_overdue(*priority)) reserve = 0;
+  return send_next(transactions_[static_cast<std::size_t>(*priority)], reserve);
+}
+
+std::optional<RequestPriority> KeyValueClient::next_priority() const {
+  if (queued_transactions(RequestPriority::lease) > 0) return RequestPriority::lease;
+  for (const RequestPriority priority : {RequestPriority::normal, RequestPriority::low})
+    if (is_overdue(priority)) return priority;
+  for (const RequestPriority priority :
+       {RequestPriority::high, RequestPriority::normal, RequestPriority::low})
+    if (queued_transactions(priority) > 0) return priority;
+  return std::nullopt;
+}
+
+bool KeyValueClient::is_overdue(RequestPriority priority) const {
+  const Queue& queue = transactions_[static_cast<std::size_t>(priority)];
+  if (queue.empty()) return false;
+  const Micros delay = context_.now - std::max(queue.requests.front().queued_at, queue.last_sent_at);
+  switch (priority) {
+    case RequestPriority::lease:
+    case RequestPriority::high:
+      return false;
+    case RequestPriority::normal:
+      return delay >= kMaxNormalDelay;
+    case RequestPriority::low:
+      return delay >= kMaxLowDelay;
   }
+  return false;
 }
 
 void KeyValueClient::send(Pending pending) {
--- a/src/core/kvstore/key_value_client.h
+++ b/src/core/kvstore/key_value_client.h
@@ -13,6 +13,7 @@
 
 /// The order in which transactions are sent when the rate budget is short.
 enum class RequestPriority : std::uint8_t {
+  lease,   ///< concerns a lease record, on which all writes for a shard depend
   high,    ///< a user waits for the response
   normal,  ///< regular work depends on it
   low      ///< may be delayed
@@ -26,6 +27,9 @@
 class KeyValueClient {
  public:
   using Callback = std::function<void(const StoreResponse&)>;
+  /// Completes a transaction immediately before it is sent. Returns false if it must not be sent: its
+  /// callback then gets StoreResponse::Outcome::refused.
+  using BeforeSend = std::function<bool(Transaction&)>;
 
   explicit KeyValueClient(Context& context);
 
@@ -34,8 +38,11 @@
   /// Reads all entries under a prefix, page by page. If a page fails, the callback receives the response to
   /// that page.
   void list(std::string prefix, Callback callback);
+  /// Like list(), but not delayed by other reads and transactions.
+  void list_leases(std::string prefix, Callback callback);
   /// Executes all writes of a transaction if all its compares hold, and none otherwise.
-  void commit(Transaction transaction, Callback callback, RequestPriority priority = RequestPriority::normal);
+  void commit(Transaction transaction, Callback callback, RequestPriority priority = RequestPriority::normal,
+              BeforeSend before_send = nullptr);
   /// Lease requests are never queued and do not count against the rate budget.
   void grant_lease(Micros term, Callback callback);
   void renew_lease(StoreLeaseId lease, Callback callback);
@@ -47,7 +54,13 @@
   void send_queued();
   /// Returns whether the queues are so long that requests which can wait should not be made.
   bool is_queue_long() const {
-    return reads_.size() + transactions_[0].size() + transactions_[1].size() > kQueueLimit / 4;
+    return reads_.requests.size() + queued_transactions(RequestPriority::high) +
+               queued_transactions(RequestPriority::normal) >
+           kQueueLimit / 4;
+  }
+  /// Returns how many transactions of a priority wait to be sent.
+  std::size_t queued_transactions(RequestPriority priority) const {
+    return transactions_[static_cast<std::size_t>(priority)].requests.size();
   }
   /// Returns whether all requests have failed for longer than kFailingAfter.
   bool failing() const { return failing_since_ && context_.now - *failing_since_ > kFailingAfter; }
@@ -58,32 +71,46 @@
   struct Pending {
     StoreRequest request;
     Callback callback;
+    BeforeSend before_send = nullptr;
+    Micros queued_at{0};
+  };
+  struct Queue {
+    std::deque<Pending> requests;
+    Micros last_sent_at{0};
+    bool empty() const { return requests.empty(); }
   };
-  using Queue = std::deque<Pending>;
   struct InFlight {
     Callback callback;
     Micros sent_at{0};
     std::string description;  ///< for the log; empty unless debug logging is enabled
   };
 
-  void enqueue(Queue& queue, StoreRequest request, Callback callback);
+  void enqueue(Queue& queue, StoreRequest request, Callback callback, BeforeSend before_send = nullptr);
+  /// Sends the next transaction if the budget allows it. Returns whether a transaction left its queue.
+  bool send_next_transaction();
+  /// Returns the priority of the transaction to be sent next; none if no transaction waits.
+  std::optional<RequestPriority> next_priority() const;
+  /// Returns whether transactions of higher priority have delayed this priority for too long.
+  bool is_overdue(RequestPriority priority) const;
   /// Sends the first request of a queue if the budget allows it and a reserve of `reserve` writes remains.
-  /// Returns whether the request was sent.
+  /// Returns whether a request left the queue.
   bool send_next(Queue& queue, double reserve);
   void send(Pending pending);
-  void list_page(std::string prefix, std::string after, std::vector<KeyValue> entries, Callback callback);
+  void list_page(Queue& queue, std::string prefix, std::string after, std::vector<KeyValue> entries,
+                 Callback callback);
   void record_outcome(StoreResponse::Outcome outcome);
 
   static constexpr std::size_t kQueueLimit = 256;
   static constexpr Micros kFailingAfter = seconds(2);
   static constexpr std::size_t kInFlightLimit = 16;
+  static constexpr std::size_t kPriorities = 4;
 
   Context& context_;
   double write_burst_;    ///< writes that may be sent at once
   TokenBucket requests_;  ///< budget for requests of all kinds
   TokenBucket writes_;    ///< budget for the writes in transactions
   Queue reads_;
-  std::array<Queue, 3> transactions_;  ///< by RequestPriority
+  std::array<Queue, kPriorities> transactions_;  ///< by RequestPriority
   std::unordered_map<std::uint64_t, InFlight> in_flight_;
   std::uint64_t next_call_ = 1;
   Micros last_success_{0};  ///< 0 if no request has succeeded yet
--- a/src/core/leases/fencing_token_advance.cpp
+++ b/src/core/leases/fencing_token_advance.cpp
@@ -16,23 +16,27 @@
 void FencingTokenAdvance::write_record(Shard& shard) {
   shard.token_advance.begin(state_.now());
   Transaction transaction;
-  transaction.compares = {state_.fenced_by(shard)};
   transaction.writes = {lease_record_write(state_, shard.name, store_lease_.id())};
-  state_.store.commit(
-      std::move(transaction),
-      [this, name = shard.name, leadership_term = shard.leadership_term](const StoreResponse& response) {
-        if (Shard* current = state_.shard_in_term(name, leadership_term)) on_written(*current, response);
-      });
+  state_.commit_fenced(
+      shard, std::move(transaction),
+      [this, name = shard.name, leadership_term = shard.leadership_term,
+       previous_token = shard.fencing_token](const StoreResponse& response) {
+        Shard* current = state_.shard_in_term(name, leadership_term);
+        if (current != nullptr) on_written(*current, previous_token, response);
+      },
+      RequestPriority::lease);
 }
 
-void FencingTokenAdvance::on_written(Shard& shard, const StoreResponse& response) {
+void FencingTokenAdvance::on_written(Shard& shard, FencingToken previous_token,
+                                     const StoreResponse& response) {
   if (!response.ok()) {
     shard.token_advance.fail(response.outcome == StoreResponse::Outcome::conflict);
     return on_failed_();
   }
   shard.token_advance.succeed();
   const FencingToken written_token = fencing_token_of(response.revision);
-  if (written_token <= shard.fencing_token)
+  // A list of the lease records may have shown the new token before this response.
+  if (written_token <= previous_token || written_token < shard.fencing_token)
     state_.context.report_violation(Invariant::tokens_grow,
                                     LogMessage("lease record written")
                                         .shard(shard.name)
--- a/src/core/leases/fencing_token_advance.h
+++ b/src/core/leases/fencing_token_advance.h
@@ -19,7 +19,7 @@
 
  private:
   void write_record(Shard& shard);
-  void on_written(Shard& shard, const StoreResponse& response);
+  void on_written(Shard& shard, FencingToken previous_token, const StoreResponse& response);
 
   ControllerState& state_;
   const StoreLease& store_lease_;
--- a/src/core/leases/shard_acquisition.cpp
+++ b/src/core/leases/shard_acquisition.cpp
@@ -15,9 +15,10 @@
   Transaction transaction;
   transaction.compares = {{records::lease_key(shard), expected_revision}};
   transaction.writes = {lease_record_write(state_, shard, acquisition.store_lease)};
-  state_.store.commit(std::move(transaction), [this, acquisition](const StoreResponse& response) {
-    on_written(acquisition, response);
-  });
+  state_.store.commit(
+      std::move(transaction),
+      [this, acquisition](const StoreResponse& response) { on_written(acquisition, response); },
+      RequestPriority::lease);
 }
 
 void ShardAcquisition::on_written(const Acquisition& acquisition, const StoreResponse& response) {
--- a/src/core/leases/shard_leases.cpp
+++ b/src/core/leases/shard_leases.cpp
@@ -60,8 +60,12 @@
   const bool all_leaders_reachable =
       std::all_of(state_.routes.begin(), state_.routes.end(),
                   [&](const auto& route) { return state_.reachable(state_.leader_of(route.first)); });
-  next_listing_ = state_.now() + (all_leaders_reachable ? kListingInterval : kUrgentListingInterval);
-  state_.store.list(records::kLeasePrefix, [this](const StoreResponse& response) {
+  const bool fence_superseded = std::any_of(state_.shards.begin(), state_.shards.end(), [](const auto& held) {
+    return held.second.is_fence_superseded();
+  });
+  const bool urgent = !all_leaders_reachable || fence_superseded;
+  next_listing_ = state_.now() + (urgent ? kUrgentListingInterval : kListingInterval);
+  state_.store.list_leases(records::kLeasePrefix, [this](const StoreResponse& response) {
     listing_ = false;
     if (response.ok())
       on_records_listed(response);
@@ -108,13 +112,15 @@
   const auto held = state_.shards.find(name);
   if (held == state_.shards.end() || acquisition_.in_flight(name)) return;
   Shard& shard = held->second;
-  if (shard.token_advance.in_flight()) return;
   const std::optional<records::LeaseRecord> record = lease_record_in(entry);
   if (!record || !is_written_by_this_process(state_, *record))
     return lose_shard(name, "its lease record is missing or was written by another process");
-  // A write of this process whose response was lost may have been applied late. A record of this process is
-  // therefore valid at any revision.
-  shard.fencing_token = std::max(shard.fencing_token, fencing_token_of(entry->revision));
+  // A write of this process whose response was lost may have been applied, also late. A record of this
+  // process is therefore valid at any revision, also while another such write is queued or in flight.
+  const FencingToken listed_token = fencing_token_of(entry->revision);
+  if (listed_token <= shard.fencing_token) return;
+  shard.fencing_token = listed_token;
+  state_.context.info(LogMessage("fencing token read from the lease record").shard(name).token(listed_token));
 }
 
 // ---- acquisition ---------------------------------------------------------------------------------
--- a/src/core/negotiation/quota_transfer.cpp
+++ b/src/core/negotiation/quota_transfer.cpp
@@ -26,8 +26,7 @@
 void QuotaTransfer::start(Shard& shard, const std::string& to, const std::string& team, Quota amount,
                           std::optional<AwardedTasks> award) {
   shard.quota.begin_transfer(team, amount);
-  const PendingTransfer transfer{shard.name, shard.leadership_term, state_.fenced_by(shard), to, team,
-                                 amount,     std::move(award)};
+  const PendingTransfer transfer{shard.name, shard.leadership_term, to, team, amount, std::move(award)};
   state_.store.get(records::quota_key(to),
                    [this, transfer](const StoreResponse& response) { on_receiver_read(transfer, response); });
 }
@@ -58,8 +57,7 @@
   const std::string sender_key = records::quota_key(transfer.from);
   const std::string receiver_key = records::quota_key(transfer.to);
   Transaction transaction;
-  transaction.compares = {
-      transfer.fence, {sender_key, shard.quota.revision()}, {receiver_key, receiver_revision}};
+  transaction.compares = {{sender_key, shard.quota.revision()}, {receiver_key, receiver_revision}};
   transaction.writes = {{sender_key, records::to_json(sender_allocation), 0},
                         {receiver_key, records::to_json(receiver_allocation), 0}};
   if (transfer.award) {
@@ -68,8 +66,8 @@
     transaction.compares.push_back({transfer.award->key, 0});
     transaction.writes.push_back({transfer.award->key, records::to_json(transfer.award->record), 0});
   }
-  state_.store.commit(std::move(transaction),
-                      [this, transfer](const StoreResponse& response) { on_committed(transfer, response); });
+  state_.commit_fenced(shard, std::move(transaction),
+                       [this, transfer](const StoreResponse& response) { on_committed(transfer, response); });
 }
 
 void QuotaTransfer::on_committed(const PendingTransfer& transfer, const StoreResponse& response) {
@@ -152,12 +150,12 @@
   if (!allocation) return resolve_later(transfer);
   const std::string key = records::quota_key(transfer.from);
   Transaction transaction;
-  transaction.compares = {state_.fenced_by(*shard), {key, response.entries.front().revision}};
+  transaction.compares = {{key, response.entries.front().revision}};
   transaction.writes = {{key, records::to_json(*allocation), 0}};
-  state_.store.commit(std::move(transaction),
-                      [this, transfer, shares = allocation->quota_shares](const StoreResponse& rewritten) {
-                        on_allocation_rewritten(transfer, shares, rewritten);
-                      });
+  state_.commit_fenced(*shard, std::move(transaction),
+                       [this, transfer, shares = allocation->quota_shares](const StoreResponse& rewritten) {
+                         on_allocation_rewritten(transfer, shares, rewritten);
+                       });
 }
 
 void QuotaTransfer::on_allocation_rewritten(const PendingTransfer& transfer,
--- a/src/core/negotiation/quota_transfer.h
+++ b/src/core/negotiation/quota_transfer.h
@@ -31,7 +31,6 @@
 struct PendingTransfer {
   std::string from;  ///< the sending shard, led by this controller
   LeadershipTerm leadership_term = 0;
-  Compare fence;  ///< compares the lease record of `from` with its revision at the start of the transfer
   std::string to;
   std::string team;
   Quota amount;
--- a/src/core/ownership/machine_ownership_writes.cpp
+++ b/src/core/ownership/machine_ownership_writes.cpp
@@ -25,17 +25,17 @@
   for (const Machine& machine : block.machines) value.push_back(record_of(machine));
   const std::string key = records::ownership_key(shard.name, block.number);
   Transaction transaction;
-  transaction.compares = {state_.fenced_by(shard), {key, 0}};
+  transaction.compares = {{key, 0}};
   transaction.writes = {{key, records::to_json(value), 0}};
   for (const std::string& home : block.homes) {
     transaction.compares.push_back({records::home_shard_key(home), home_shard_revisions_[home]});
     transaction.writes.push_back({records::home_shard_key(home), Value(shard.name), 0});
   }
   writing_new_block_ = true;
-  state_.store.commit(std::move(transaction),
-                      [this, block = std::move(block)](const StoreResponse& response) {
-                        on_new_block_written(block, response);
-                      });
+  state_.commit_fenced(shard, std::move(transaction),
+                       [this, block = std::move(block)](const StoreResponse& response) {
+                         on_new_block_written(block, response);
+                       });
 }
 
 /// Removes from the requests as many machines as fit in one record, and returns them as a new block.
@@ -99,7 +99,6 @@
 /// Rewrites up to kBlocksPerWrite blocks in one transaction. Removes blocks that have no machine left.
 void MachineOwnership::rewrite_blocks(Shard& shard, RewriteSchedule& schedule) {
   Transaction transaction;
-  transaction.compares = {state_.fenced_by(shard)};
   BlockRewrite rewrite{shard.name, shard.leadership_term, {}};
   for (auto& [number, block] : shard.ownership_blocks) {
     if (!block.may_be_rewritten(schedule.least_urgency)) continue;
@@ -119,8 +118,8 @@
   }
   if (rewrite.blocks.empty()) return;
   schedule.next = state_.now() + schedule.interval;
-  state_.store.commit(
-      std::move(transaction),
+  state_.commit_fenced(
+      shard, std::move(transaction),
       [this, rewrite = std::move(rewrite)](const StoreResponse& response) {
         on_blocks_rewritten(rewrite, response);
       },
--- a/src/core/state/controller_state.h
+++ b/src/core/state/controller_state.h
@@ -148,11 +148,12 @@
     return agrees;
   }
 
-  /// Returns the compare that every transaction for a shard includes: the shard's lease record must still be
-  /// the one that this controller wrote.
-  static Compare fenced_by(const Shard& shard) {
-    return {records::lease_key(shard.name), lease_record_revision(shard.fencing_token)};
-  }
+  /// Commits a transaction on condition that the shard's lease record is still the one that this controller
+  /// wrote. The fencing token is that of the moment at which the transaction is sent. The callback gets
+  /// StoreResponse::Outcome::refused if the leadership term has ended before that, or if the lease record is
+  /// known to have changed and has not been read since.
+  void commit_fenced(const Shard& shard, Transaction transaction, KeyValueClient::Callback callback,
+                     RequestPriority priority = RequestPriority::normal);
 };
 
 }  // namespace bendtide
--- a/src/core/state/shard.h
+++ b/src/core/state/shard.h
@@ -38,6 +38,8 @@
   /// The first fencing token of this leadership term. A status that shows a lower token was sent before the
   /// term began.
   FencingToken first_fencing_token = 0;
+  /// A fencing token that the lease record no longer has, as a transaction found; 0 if there is none.
+  FencingToken superseded_token = 0;
   LeadershipTerm leadership_term = 0;
   Micros acquired_at{0};
   Stage stage = Stage::loading;
@@ -72,6 +74,9 @@
   std::vector<UnreachableMachine> unreachable_at_handover;
 
   bool ready() const { return stage == Stage::ready; }
+  /// Returns whether every transaction under the current fencing token would conflict. The leader must then
+  /// read its lease record, and either learns its new token or has lost the shard.
+  bool is_fence_superseded() const { return superseded_token != 0 && superseded_token == fencing_token; }
   /// Requests a scheduling pass as soon as possible.
   void request_scheduling_pass() { next_scheduling_pass_at = Micros{0}; }
   /// Adds the machine to those that the next push_commands pushes commands to.
