KeyValueClient: reads for users do not fill the queue of all reads

Cause: all reads shared one queue of 256. Users may ask about any number of jobs, also about jobs that nobody submitted, and each such poll is one or two reads. Faster than the budget, they keep the queue full; the lists with which a controller loads a shard after a failover are then refused or wait for seconds.

Change: a read has a kind. Reads for users have a queue of their own and take turns with the others; reads of lease records, which the lists already put first, include the read after an acquisition without response.

Measured: with the reads of users in the common queue the new test fails, with the change it passes.

--- a/src/core/jobs/cancellations.cpp
+++ b/src/core/jobs/cancellations.cpp
@@ -22,9 +22,10 @@
     return cancel_locally(cancellation, *shard, shard->jobs.at(job));
   const std::string leader = directory_.leader_of(job);
   if (leader != state_.own_host() && origin == RequestOrigin::user) return forward_to(leader, cancellation);
-  state_.store.get(records::live_key(job), [this, cancellation](const StoreResponse& response) {
-    on_live_record(cancellation, response);
-  });
+  state_.store.get(
+      records::live_key(job),
+      [this, cancellation](const StoreResponse& response) { on_live_record(cancellation, response); },
+      ReadKind::user);
 }
 
 void Cancellations::cancel_locally(const Cancellation& cancellation, Shard& shard, Job& job) {
--- a/src/core/jobs/job_polls.cpp
+++ b/src/core/jobs/job_polls.cpp
@@ -57,17 +57,19 @@
 void JobPolls::read(const std::string& job, const ReplyCallback& respond, RequestOrigin origin) {
   const JobRead read{job, state_.now(), origin, respond};
   if (state_.store.failing() && origin == RequestOrigin::user) return on_record_unavailable(read);
-  state_.store.get(records::live_key(job),
-                   [this, read](const StoreResponse& response) { on_live_record(read, response); });
+  state_.store.get(
+      records::live_key(job), [this, read](const StoreResponse& response) { on_live_record(read, response); },
+      ReadKind::user);
 }
 
 void JobPolls::on_live_record(const JobRead& read, const StoreResponse& response) {
   if (response.outcome == Outcome::absent) {
     // The job had no record of an unfinished job at the time of the read: it was already final, or was never
     // accepted.
-    state_.store.get(records::final_job_key(read.job), [this, read](const StoreResponse& final_response) {
-      on_final_record(read, final_response);
-    });
+    state_.store.get(
+        records::final_job_key(read.job),
+        [this, read](const StoreResponse& final_response) { on_final_record(read, final_response); },
+        ReadKind::user);
     return;
   }
   const auto record = records::read_first(response, records::read_live_job);
--- a/src/core/kvstore/key_value_client.cpp
+++ b/src/core/kvstore/key_value_client.cpp
@@ -41,8 +41,20 @@
                 std::max(kMinRequestBurst, burst(context.settings.store_requests_per_s, context.settings))),
       writes_(rate_share(context.settings.store_writes_per_s, context.settings), write_burst_) {}
 
-void KeyValueClient::get(std::string key, Callback callback) {
-  enqueue(reads_, GetKey{std::move(key)}, std::move(callback));
+KeyValueClient::Queue& KeyValueClient::queue_of(ReadKind kind) {
+  switch (kind) {
+    case ReadKind::lease:
+      return transactions_[static_cast<std::size_t>(RequestPriority::lease)];
+    case ReadKind::state:
+      return reads_;
+    case ReadKind::user:
+      return user_reads_;
+  }
+  return reads_;
+}
+
+void KeyValueClient::get(std::string key, Callback callback, ReadKind kind) {
+  enqueue(queue_of(kind), GetKey{std::move(key)}, std::move(callback));
 }
 
 void KeyValueClient::commit(Transaction transaction, Callback callback, RequestPriority priority,
@@ -59,13 +71,8 @@
   send({RenewLease{lease}, std::move(callback)});
 }
 
-void KeyValueClient::list(std::string prefix, Callback callback) {
-  list_page(reads_, std::move(prefix), "", {}, std::move(callback));
-}
-
-void KeyValueClient::list_leases(std::string prefix, Callback callback) {
-  Queue& queue = transactions_[static_cast<std::size_t>(RequestPriority::lease)];
-  list_page(queue, std::move(prefix), "", {}, std::move(callback));
+void KeyValueClient::list(std::string prefix, Callback callback, ReadKind kind) {
+  list_page(queue_of(kind), std::move(prefix), "", {}, std::move(callback));
 }
 
 void KeyValueClient::list_page(Queue& queue, std::string prefix, std::string after,
@@ -117,7 +124,7 @@
 
 void KeyValueClient::send_queued() {
   // A transaction that exceeds the current budget delays all other transactions, but not reads.
-  while (send_next_transaction() || send_next(reads_, 0)) {
+  while (send_next_transaction() || send_next_read()) {
   }
 }
 
@@ -132,6 +139,13 @@
   return send_next(transactions_[static_cast<std::size_t>(*priority)], reserve);
 }
 
+bool KeyValueClient::send_next_read() {
+  const bool user_first = user_read_is_next_ ? !user_reads_.empty() : reads_.empty();
+  if (!send_next(user_first ? user_reads_ : reads_, 0)) return false;
+  user_read_is_next_ = !user_first;
+  return true;
+}
+
 std::optional<RequestPriority> KeyValueClient::next_priority() const {
   if (queued_transactions(RequestPriority::lease) > 0) return RequestPriority::lease;
   for (const RequestPriority priority : {RequestPriority::normal, RequestPriority::low})
--- a/src/core/kvstore/key_value_client.h
+++ b/src/core/kvstore/key_value_client.h
@@ -19,6 +19,13 @@
   low      ///< may be delayed
 };
 
+/// What a read is made for. Reads of different kinds do not wait for each other's whole queue.
+enum class ReadKind : std::uint8_t {
+  lease,  ///< lease records: sent before all other requests
+  state,  ///< the records of the shards that the controller leads, and settings
+  user    ///< a request of a user; at most every second read while others wait, as users are not limited
+};
+
 /// Sends requests to the key-value store within this controller's share of the published rate limits, queues
 /// the requests that exceed it, and passes each response to the callback of its request. A callback is called
 /// exactly once for each request, unless the shell never delivers a response. It may be called before the
@@ -34,12 +41,10 @@
   explicit KeyValueClient(Context& context);
 
   /// Reads one key.
-  void get(std::string key, Callback callback);
+  void get(std::string key, Callback callback, ReadKind kind = ReadKind::state);
   /// Reads all entries under a prefix, page by page. If a page fails, the callback receives the response to
   /// that page.
-  void list(std::string prefix, Callback callback);
-  /// Like list(), but not delayed by other reads and transactions.
-  void list_leases(std::string prefix, Callback callback);
+  void list(std::string prefix, Callback callback, ReadKind kind = ReadKind::state);
   /// Executes all writes of a transaction if all its compares hold, and none otherwise.
   void commit(Transaction transaction, Callback callback, RequestPriority priority = RequestPriority::normal,
               BeforeSend before_send = nullptr);
@@ -54,7 +59,7 @@
   void send_queued();
   /// Returns whether the queues are so long that requests which can wait should not be made.
   bool is_queue_long() const {
-    return reads_.requests.size() + queued_transactions(RequestPriority::high) +
+    return reads_.requests.size() + user_reads_.requests.size() + queued_transactions(RequestPriority::high) +
                queued_transactions(RequestPriority::normal) >
            kQueueLimit / 4;
   }
@@ -85,9 +90,12 @@
     std::string description;  ///< for the log; empty unless debug logging is enabled
   };
 
+  Queue& queue_of(ReadKind kind);
   void enqueue(Queue& queue, StoreRequest request, Callback callback, BeforeSend before_send = nullptr);
   /// Sends the next transaction if the budget allows it. Returns whether a transaction left its queue.
   bool send_next_transaction();
+  /// Sends the next read if the budget allows it, in turn from both queues. Returns whether a read was sent.
+  bool send_next_read();
   /// Returns the priority of the transaction to be sent next; none if no transaction waits.
   std::optional<RequestPriority> next_priority() const;
   /// Returns whether transactions of higher priority have delayed this priority for too long.
@@ -110,6 +118,8 @@
   TokenBucket requests_;  ///< budget for requests of all kinds
   TokenBucket writes_;    ///< budget for the writes in transactions
   Queue reads_;
+  Queue user_reads_;
+  bool user_read_is_next_ = false;
   std::array<Queue, kPriorities> transactions_;  ///< by RequestPriority
   std::unordered_map<std::uint64_t, InFlight> in_flight_;
   std::uint64_t next_call_ = 1;
--- a/src/core/leases/shard_acquisition.cpp
+++ b/src/core/leases/shard_acquisition.cpp
@@ -34,9 +34,10 @@
 void ShardAcquisition::read_record(const Acquisition& acquisition) {
   // If the write is applied only after this read, a later list of the lease records shows a record of this
   // process for a shard that it does not lead. The shard is then acquired again.
-  state_.store.get(records::lease_key(acquisition.shard), [this, acquisition](const StoreResponse& response) {
-    on_record_read(acquisition, response);
-  });
+  state_.store.get(
+      records::lease_key(acquisition.shard),
+      [this, acquisition](const StoreResponse& response) { on_record_read(acquisition, response); },
+      ReadKind::lease);
 }
 
 void ShardAcquisition::on_record_read(const Acquisition& acquisition, const StoreResponse& response) {
--- a/src/core/leases/shard_leases.cpp
+++ b/src/core/leases/shard_leases.cpp
@@ -65,13 +65,16 @@
   });
   const bool urgent = !all_leaders_reachable || fence_superseded;
   next_listing_ = state_.now() + (urgent ? kUrgentListingInterval : kListingInterval);
-  state_.store.list_leases(records::kLeasePrefix, [this](const StoreResponse& response) {
-    listing_ = false;
-    if (response.ok())
-      on_records_listed(response);
-    else
-      next_listing_ = state_.now() + kUrgentListingInterval;
-  });
+  state_.store.list(
+      records::kLeasePrefix,
+      [this](const StoreResponse& response) {
+        listing_ = false;
+        if (response.ok())
+          on_records_listed(response);
+        else
+          next_listing_ = state_.now() + kUrgentListingInterval;
+      },
+      ReadKind::lease);
 }
 
 void ShardLeases::schedule_listing_after_failure() {
--- a/tests/key_value_client_test.cpp
+++ b/tests/key_value_client_test.cpp
@@ -77,12 +77,33 @@
   for (int i = 0; i < 1000; ++i) t.client.get("key", [](const StoreResponse&) {});
   t.commit("lease", RequestPriority::lease);
   bool listed = false;
-  t.client.list_leases("hold/", [&](const StoreResponse& response) { listed = response.ok(); });
+  t.client.list(
+      "hold/", [&](const StoreResponse& response) { listed = response.ok(); }, ReadKind::lease);
   t.run_saturated_for(millis(200));
   EXPECT_EQ(t.successes("lease"), 1);
   EXPECT_TRUE(listed);
 }
 
+// Users may ask about any number of jobs, also about jobs that nobody submitted. Their reads used to fill the
+// queue of all reads, so that a controller that took over a shard could hardly load it.
+TEST(KeyValueClient, ReadsForUsersDoNotDelayOtherReadsForLong) {
+  BusyClient t;
+  const auto ignore = [](const StoreResponse&) {};
+  std::size_t listed = 0;
+  const auto count = [&](const StoreResponse& response) { listed += response.ok() ? 1 : 0; };
+  for (int step = 0; step < 100; ++step) {
+    for (int i = 0; i < 20; ++i) t.client.get("job", ignore, ReadKind::user);
+    if (step == 50)
+      for (int i = 0; i < 4; ++i) t.client.list("live/", count);
+    t.client.send_queued();
+    t.respond_to_all();
+    t.context.now += kStep;
+    if (step >= 60) {
+      EXPECT_EQ(listed, 4u);
+    }
+  }
+}
+
 TEST(KeyValueClient, TransactionThatMustNotBeSentIsRefused) {
   BusyClient t;
   t.run_saturated_for(seconds(1));
