fencing_token_test: shorter functions

Change: one function serves one call, and another recognizes writes of the lease record; nothing else.

--- a/tests/fencing_token_test.cpp
+++ b/tests/fencing_token_test.cpp
@@ -35,9 +35,14 @@
         jobs.tick();
         state.store.send_queued();
       });
-      while (!calls.empty()) serve(std::exchange(calls, {}));
+      serve_all();
     }
   }
+  /// Serves all requests, and those that the responses give rise to.
+  void serve_all() {
+    while (!calls.empty())
+      for (const StoreCall& call : std::exchange(calls, {})) serve(call);
+  }
   Shard& own_shard() { return state.shards.at("a"); }
   /// Adds a job all of whose tasks are done, but whose final state is not written yet.
   void add_finished_job(const std::string& id) {
@@ -51,20 +56,19 @@
   }
 
  private:
-  void serve(const std::vector<StoreCall>& sent) {
-    for (const StoreCall& call : sent) {
-      const wire::HttpRequest http = wire::request_of(call.request);
-      const Response response = store.handle(http, context.now);
-      const auto* transaction = std::get_if<Transaction>(&call.request);
-      const bool writes_lease =
-          transaction != nullptr && transaction->writes.at(0).key == records::lease_key("a");
-      if (writes_lease && lose_lease_write_responses) {
-        context.run_after(kStoreTimeout, [this, id = call.call] { state.store.on_response(id, {}); });
-        continue;
-      }
-      const StoreResponse parsed = wire::parse_store_response(call.request, response.status, response.body);
-      collect([&] { state.store.on_response(call.call, parsed); });
+  static bool writes_lease_record(const StoreCall& call) {
+    const auto* transaction = std::get_if<Transaction>(&call.request);
+    return transaction != nullptr && transaction->writes.at(0).key == records::lease_key("a");
+  }
+  void serve(const StoreCall& call) {
+    const wire::HttpRequest http = wire::request_of(call.request);
+    const Response response = store.handle(http, context.now);
+    if (lose_lease_write_responses && writes_lease_record(call)) {
+      context.run_after(kStoreTimeout, [this, id = call.call] { state.store.on_response(id, {}); });
+      return;
     }
+    const StoreResponse parsed = wire::parse_store_response(call.request, response.status, response.body);
+    collect([&] { state.store.on_response(call.call, parsed); });
   }
 };
 
