review: case 6, a job that failed once on a machine is never started there again

Cause: the names of machines on which a job failed are kept for good, and these machines are left out even if the job fits nowhere else. Change: review/6; the stand-ins count failed tasks.

--- a/review/world-2/world.cpp
+++ b/review/world-2/world.cpp
@@ -528,6 +528,7 @@
       if (fails_tasks) {
         end_on_machine(key, task);
         task = {"ended", "error", 0};
+        ++failures_;
       }
       continue;
     }
--- a/review/world-2/world.h
+++ b/review/world-2/world.h
@@ -184,6 +184,7 @@
   bool holds(const std::string& job) const;  ///< some task of the job is on it, fetching or running
   std::size_t tasks_on_it() const;
   std::atomic<bool> fails_tasks{false};
+  int failures() const { return failures_; }  ///< number of tasks that failed on it
 
  private:
   struct Task {
@@ -226,6 +227,7 @@
   bool changed_ = true;
   bool in_flight_ = false;
   int node_ = 0;
+  int failures_ = 0;
 };
 
 /// The cloud and its machines.
