--- a/review/7/scenario.cpp
+++ b/review/7/scenario.cpp
@@ -1,6 +1,6 @@
 // Case 7: a machine fails every task that it starts for a few seconds. A job whose only task failed there in
-// that time is never started again: not on this machine, which works again and has room, and not on a rented
-// one either, since that room is counted as if the job could use it.
+// that time is never started there again, although the machine works again and has room and no other machine
+// has.
 #include <string>
 
 #include "world.h"
