--- a/review/world-2/world.cpp
+++ b/review/world-2/world.cpp
@@ -754,7 +754,9 @@
     return {400, "{}"};
   json names = json::array();
   const int wanted = std::min(50, body.at("howMany").get<int>());
+  const bool spot = body.at("driftwood");
   for (int i = 0; i < wanted && rented_count_ < world_.deployment.rentable; ++i) {
+    if (spot && ++spot_count_ > world_.deployment.spot_rentable) break;
     ++rented_count_;
     char name[16];
     std::snprintf(name, sizeof name, "n-%06d", next_number_++);
--- a/review/world-2/world.h
+++ b/review/world-2/world.h
@@ -110,6 +110,7 @@
   double boot_s = 2;  ///< how long a rented machine takes to come up
   /// How many machines the cloud rents; further requests are refused with "no capacity".
   int rentable = 1000;
+  int spot_rentable = 1000;  ///< how many of these may be spot machines
 };
 
 /// Allows `rate` amounts a second, in bursts worth `burst_s` seconds.
@@ -255,6 +256,7 @@
   std::map<std::string, std::string> rented_;  ///< answers by charter
   int next_number_ = 0;
   int rented_count_ = 0;
+  int spot_count_ = 0;
   Bucket calls_;
 };
 
