--- a/review/world-2/world.cpp
+++ b/review/world-2/world.cpp
@@ -23,6 +23,7 @@
 
 const std::chrono::steady_clock::time_point kStart = std::chrono::steady_clock::now();
 
+const std::string kJobs = "/work";  ///< the path of submissions; a job's own path follows
 constexpr double kIdleConnectionS = 300;
 constexpr double kWorkerTimeoutS = 4;
 constexpr double kDeadListedRunningS = 30;
@@ -971,7 +972,7 @@
     const Lock lock(mutex);
     jobs[job.body.at("uid").get<std::string>()] = job;
   }
-  return ask(controller, "POST", "/work", job.body.dump(), 5);
+  return ask(controller, "POST", kJobs, job.body.dump(), 5);
 }
 
 bool World::submit_until_accepted(int controller, const Job& job, double timeout_s) {
@@ -985,11 +986,11 @@
 }
 
 Answer World::poll(int controller, const std::string& job) {
-  return ask(controller, "GET", "/work/" + job, "", 2);
+  return ask(controller, "GET", kJobs + "/" + job, "", 2);
 }
 
 Answer World::cancel(int controller, const std::string& job) {
-  return ask(controller, "POST", "/work/" + job + "/cancel", "", 5);
+  return ask(controller, "POST", kJobs + "/" + job + "/cancel", "", 5);
 }
 
 bool World::cancel_until_confirmed(int controller, const std::string& job, double timeout_s) {
