tests/sim: planned jobs, initial machines and the capacity of the cloud

Need: tests of jobs that wait beside room have to place particular jobs at particular controllers, lose a particular machine, and have a cloud without capacity.

Change: a scenario can list its jobs with the controller that gets each of them, the zones of the machines at the start and the capacity of the cloud; a scheduled fault can name its machine. Scenarios without these are unchanged.

--- a/tests/sim/fault_injector.cpp
+++ b/tests/sim/fault_injector.cpp
@@ -101,8 +101,9 @@
   ControllerHost& controller = fault.controller == kBusiestController
                                    ? controllers_.host_with_most_machines()
                                    : *controllers_.hosts().at(static_cast<std::size_t>(fault.controller));
-  return {
-      fault.kind, true, &controller, fault.hold, fault.duration, fault.count, machines_.busiest(fault.count)};
+  const std::vector<std::string> machines =
+      fault.machine.empty() ? machines_.busiest(fault.count) : std::vector{fault.machine};
+  return {fault.kind, true, &controller, fault.hold, fault.duration, fault.count, machines};
 }
 
 void FaultInjector::inject(const Injection& injection) {
--- a/tests/sim/fault_scenario.h
+++ b/tests/sim/fault_scenario.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "core/model/settings.h"
@@ -72,8 +74,17 @@
   FaultKind kind = FaultKind::controller_crashes;
   Micros duration = seconds(10);  ///< of a crash: until the process restarts
   int controller = 0;             ///< index, or kBusiestController; for kinds that affect one controller
-  int count = 1;      ///< of affected machines, those with the most tasks first, or of affected jobs
-  bool hold = false;  ///< a cut holds what is sent, and delivers it at its end
+  int count = 1;          ///< of affected machines, those with the most tasks first, or of affected jobs
+  bool hold = false;      ///< a cut holds what is sent, and delivers it at its end
+  std::string machine{};  ///< the affected machine; empty: the `count` machines with the most tasks
+};
+
+/// A job that its user submits to one particular controller.
+struct PlannedJob {
+  JobSpec job;
+  Micros submit_at{0};
+  std::size_t controller = 0;         ///< index
+  std::optional<Micros> cancel_at{};  ///< not set: never
 };
 
 /// The parameters of a run. The defaults inject random faults of the default set.
@@ -95,7 +106,8 @@
 
   // Users.
   int jobs = 24;
-  bool submit_at_once = false;  ///< all jobs are submitted within a second
+  std::vector<PlannedJob> planned_jobs;  ///< if not empty, these are the only jobs
+  bool submit_at_once = false;           ///< all jobs are submitted within a second
   /// Jobs are small. As soon as a user receives the reply that a job is accepted, it polls all controllers,
   /// resubmits the job and maybe cancels it.
   bool impatient_users = false;
@@ -104,6 +116,10 @@
   bool users_submit_invalid_jobs = false;  ///< users also submit jobs that can never run
   bool operators_poll = false;             ///< operators regularly read every page of the administration API
 
+  // Machines.
+  std::vector<std::string> initial_zones{"east", "west", "east"};  ///< of the machines at the start
+  int cloud_capacity = 14;                                         ///< number of machines
+
   // Settings.
   bool tight_limits = false;  ///< low limits, which teams reach for most of the run
   /// Longer heartbeat interval and worker lease, so that controllers receive a heartbeat of a machine that is
--- a/tests/sim/simulated_machines.cpp
+++ b/tests/sim/simulated_machines.cpp
@@ -4,7 +4,6 @@
 
 namespace {
 
-constexpr int kMaxMachines = 14;                      ///< capacity of the cloud
 constexpr Micros kServiceRunTime = seconds(100'000);  ///< longer than any scenario
 // During FaultKind::machines_boot_late, boot times are multiplied by one of the factors below. The larger one
 // delays the boot beyond the end of the scenario.
@@ -22,10 +21,12 @@
 
 SimulatedMachines::SimulatedMachines(Environment& environment)
     : environment_(environment),
-      cloud_(machine_types(), kMaxMachines, [this](SimulatedCloud::Machine& machine) { boot(machine); }) {}
+      cloud_(machine_types(), environment.scenario.cloud_capacity,
+             [this](SimulatedCloud::Machine& machine) { boot(machine); }) {}
 
 void SimulatedMachines::add_initial() {
-  for (const char* zone : {"east", "west", "east"}) cloud_.add("small", zone, false, Micros{0});
+  for (const std::string& zone : environment_.scenario.initial_zones)
+    cloud_.add("small", zone, false, Micros{0});
 }
 
 void SimulatedMachines::boot(const SimulatedCloud::Machine& machine) {
--- a/tests/sim/simulated_users.cpp
+++ b/tests/sim/simulated_users.cpp
@@ -46,13 +46,15 @@
 void SimulatedUsers::submit(User& user, Micros since) {
   Simulation& simulation = environment_.simulation;
   const Micros sent_at = simulation.now();
-  send([job = user.job](Controller& core, std::uint64_t request) { core.on_submit(request, job); },
-       [this, &user, &simulation, since, sent_at](const UserReply* reply) {
-         if (reply != nullptr && (reply->status == 200 || reply->status == 201))
-           on_accepted(user, *reply, sent_at);
-         else if (simulation.now() - since < kMaxResubmissionTime)
-           simulation.schedule_after(kRetryDelay, [this, &user, since] { submit(user, since); });
-       });
+  ControllerHost& host = user.controller ? *controllers_.hosts().at(*user.controller) : choose_host();
+  controllers_.send_user_request(
+      host, [job = user.job](Controller& core, std::uint64_t request) { core.on_submit(request, job); },
+      [this, &user, &simulation, since, sent_at](const UserReply* reply) {
+        if (reply != nullptr && (reply->status == 200 || reply->status == 201))
+          on_accepted(user, *reply, sent_at);
+        else if (simulation.now() - since < kMaxResubmissionTime)
+          simulation.schedule_after(kRetryDelay, [this, &user, since] { submit(user, since); });
+      });
 }
 
 void SimulatedUsers::on_accepted(User& user, const UserReply& reply, Micros sent_at) {
--- a/tests/sim/simulated_users.h
+++ b/tests/sim/simulated_users.h
@@ -16,13 +16,14 @@
 struct User {
   JobSpec job;
   Micros submit_at{0};
-  std::optional<Micros> cancel_at;     ///< not set: no cancellation is planned
-  bool accepted = false;               ///< a submission was confirmed
-  bool cancelling = false;             ///< a cancellation was requested
-  bool final_reply_received = false;   ///< a reply said that the job is done or cancelled
-  bool acted_on_job_end = false;       ///< the user has acted when the last task ended
-  bool acted_on_acceptance = false;    ///< the user has acted on the acceptance of the job
-  std::optional<JobPhase> last_phase;  ///< the phase in the latest reply to a poll or a cancellation
+  std::optional<std::size_t> controller{};  ///< index of the one that gets the submission; not set: any
+  std::optional<Micros> cancel_at{};        ///< not set: no cancellation is planned
+  bool accepted = false;                    ///< a submission was confirmed
+  bool cancelling = false;                  ///< a cancellation was requested
+  bool final_reply_received = false;        ///< a reply said that the job is done or cancelled
+  bool acted_on_job_end = false;            ///< the user has acted when the last task ended
+  bool acted_on_acceptance = false;         ///< the user has acted on the acceptance of the job
+  std::optional<JobPhase> last_phase{};     ///< the phase in the latest reply to a poll or a cancellation
 };
 
 class SimulatedUsers {
@@ -30,7 +31,7 @@
   SimulatedUsers(Environment& environment, SimulatedNetwork& network, SimulatedControllers& controllers)
       : environment_(environment), network_(network), controllers_(controllers) {}
 
-  /// Creates the users with random jobs.
+  /// Creates the users with the planned jobs of the scenario or, if there are none, with random ones.
   void create_users();
   /// Schedules the submissions of all users.
   void start();
@@ -50,6 +51,7 @@
   std::vector<std::string> unfinished_jobs() const;
 
  private:
+  void add_user(std::unique_ptr<User> user);
   /// Returns a random job; `number` makes its id unique.
   JobSpec random_job(int number);
   /// Returns the job with random properties of an array: tasks, estimate, checkpoints and constraints.
--- a/tests/sim/simulated_users_jobs.cpp
+++ b/tests/sim/simulated_users_jobs.cpp
@@ -15,17 +15,27 @@
 void SimulatedUsers::create_users() {
   Simulation& simulation = environment_.simulation;
   const FaultScenario& scenario = environment_.scenario;
+  for (const PlannedJob& planned : scenario.planned_jobs)
+    add_user(std::make_unique<User>(User{.job = planned.job,
+                                         .submit_at = planned.submit_at,
+                                         .controller = planned.controller,
+                                         .cancel_at = planned.cancel_at}));
+  if (!scenario.planned_jobs.empty()) return;
   for (int i = 0; i < scenario.jobs; ++i) {
     auto user = std::make_unique<User>();
     user->job = random_job(i);
     user->submit_at = seconds(3 + simulation.random_fraction() * (scenario.submit_at_once ? 1 : 140));
     if (simulation.random_fraction() < kCancellationProbability && !scenario.impatient_users)
       user->cancel_at = user->submit_at + seconds(2 + simulation.random_fraction() * 40);
-    environment_.jobs[user->job.id] = user->job;
-    users_.push_back(std::move(user));
+    add_user(std::move(user));
   }
 }
 
+void SimulatedUsers::add_user(std::unique_ptr<User> user) {
+  environment_.jobs[user->job.id] = user->job;
+  users_.push_back(std::move(user));
+}
+
 JobSpec SimulatedUsers::random_job(int number) {
   Simulation& simulation = environment_.simulation;
   const bool impatient = environment_.scenario.impatient_users;
