Awards: a winner returns tasks that it has no capacity for

Cause: an award was for good. The winner kept the tasks until the job ended: it cannot award them on, its own machines were the only ones considered, and the owner counted them as running.

Change: tasks that have been without capacity for 10 s while the cloud offers no machine, or for 45 s, are removed from the award record by the winner, in one transaction on condition of the record's revision (AwardReturns). They do not start at the winner from the moment at which the write is handed over; with an unknown outcome the same write is repeated until the record has another revision. The owner reads the awards that it has made, at least every 10 s, and lets tasks wait again that a record no longer covers. The award stays while the winner has finished tasks of the job, because its records of them depend on it. No message between controllers changed.

AwardReturns covers lost answers, a replaced award, old reads and unreadable records. The recorded administration bodies gained the new fields; all other recorded bytes are unchanged.

--- a/src/core/controller/overview.cpp
+++ b/src/core/controller/overview.cpp
@@ -74,6 +74,9 @@
                       {"done", job.done},
                       {"awards", job.awards.size()},
                       {"no_room_for", job.tasks_without_capacity},
+                      {"no_room_for_s", job.without_capacity_since == Micros{0}
+                                            ? 0.0
+                                            : in_seconds(state.now() - job.without_capacity_since)},
                       {"share_used_up", job.quota_share_exhausted},
                       {"no_machine_to_rent", job.no_offering},
                       {"suspect", job.is_suspect()}});
@@ -87,6 +90,8 @@
           {"calls", counters.calls},
           {"rounds", counters.rounds},
           {"awards", counters.awards},
+          {"tasks_returned", counters.tasks_returned},
+          {"tasks_taken_back", counters.tasks_taken_back},
           {"conflicts", counters.conflicts},
           {"without_feasible_proposal", counters.without_feasible_proposal},
           {"shares_moved", counters.quota_transfers}};
--- a/src/core/jobs/final_state_writer.cpp
+++ b/src/core/jobs/final_state_writer.cpp
@@ -54,7 +54,7 @@
                         {records::live_key(write.job), std::nullopt, 0}};
   // The same transaction removes the job's award records. Each winner stops the tasks once a read shows that
   // the award is gone.
-  for (const auto& [key, winner] : job->awards) transaction.writes.push_back({key, std::nullopt, 0});
+  for (const auto& [key, award] : job->awards) transaction.writes.push_back({key, std::nullopt, 0});
   state_.commit_fenced(
       *state_.shard_in_term(write.shard, write.leadership_term), std::move(transaction),
       [this, write, respond](const StoreResponse& response) { on_written(write, response, respond); },
--- a/src/core/leases/lease_record_writes.h
+++ b/src/core/leases/lease_record_writes.h
@@ -9,7 +9,7 @@
 /// the key-value store removes the record when that lease ends.
 inline Write lease_record_write(const ControllerState& state, const std::string& shard,
                                 StoreLeaseId store_lease) {
-  const records::LeaseRecord record{state.own_host(), state.context.incarnation};
+  const records::LeaseRecord record{state.own_host(), state.context.incarnation, true};
   return {records::lease_key(shard), records::to_json(record), store_lease};
 }
 
--- a/src/core/leases/shard_leases.cpp
+++ b/src/core/leases/shard_leases.cpp
@@ -102,7 +102,8 @@
 void ShardLeases::update_route(ShardRoute& route, const KeyValue* entry) {
   const std::optional<records::LeaseRecord> record = lease_record_in(entry);
   if (record) {
-    route = {record->host, record->incarnation, entry->revision, Micros{0}, true};
+    route = {record->host, record->incarnation,           entry->revision, Micros{0},
+             true,         record->accepts_returned_tasks};
     return;
   }
   if (route.absent_since == Micros{0}) route.absent_since = state_.now();
@@ -161,8 +162,8 @@
 
 void ShardLeases::begin_term(const std::string& name, FencingToken token, FencingToken replaced) {
   if (!state_.lease_valid()) return;
-  state_.routes[name] = {state_.own_host(), state_.context.incarnation, lease_record_revision(token),
-                         Micros{0}, true};
+  state_.routes[name] = {
+      state_.own_host(), state_.context.incarnation, lease_record_revision(token), Micros{0}, true, true};
   Shard& shard = state_.shards[name];
   shard = Shard{};
   shard.name = name;
--- a/src/core/model/records.cpp
+++ b/src/core/model/records.cpp
@@ -28,7 +28,6 @@
   return shares;
 }
 
-using TaskRange = std::pair<std::uint32_t, std::uint32_t>;  ///< first task, number of tasks
 TaskRange read_task_range(const Value& value) {
   return {element<std::uint32_t>(value, 0), element<std::uint32_t>(value, 1)};
 }
@@ -159,10 +158,15 @@
   return segments;
 }
 
-Value to_json(const LeaseRecord& lease) { return {{"host", lease.host}, {"incarnation", lease.incarnation}}; }
+Value to_json(const LeaseRecord& lease) {
+  Value record = {{"host", lease.host}, {"incarnation", lease.incarnation}};
+  if (lease.accepts_returned_tasks) record["returns"] = true;
+  return record;
+}
 ReadResult<LeaseRecord> read_lease_record(const Value& value) {
   return read_record<LeaseRecord>(value, [](const Value& in) {
-    return LeaseRecord{field<std::string>(in, "host"), field<std::string>(in, "incarnation")};
+    return LeaseRecord{field<std::string>(in, "host"), field<std::string>(in, "incarnation"),
+                       field_or(in, "returns", false)};
   });
 }
 
--- a/src/core/model/records.h
+++ b/src/core/model/records.h
@@ -28,6 +28,9 @@
 struct LeaseRecord {
   std::string host;
   std::string incarnation;
+  /// Whether the leader notices that tasks which the shard has awarded are returned to it (see Award). False
+  /// in records of versions that do not read the records of the awards that they have made.
+  bool accepts_returned_tasks = false;
 };
 /// The part of the limit of each team that a shard may use.
 struct QuotaAllocation {
@@ -50,10 +53,13 @@
   std::uint32_t chunk = 0;  ///< number of the chunk; its first task is `chunk * kTasksPerChunk`
   std::vector<bool> bits;   ///< by task within the chunk: whether the task has finished
 };
-/// Tasks that the owner of a job has awarded to another shard.
+/// Consecutive tasks of a job: the first task and the number of tasks.
+using TaskRange = std::pair<std::uint32_t, std::uint32_t>;
+/// Tasks that the owner of a job has awarded to another shard, the winner. The winner removes the tasks that
+/// it returns to the owner; the owner removes the record when the job ends.
 struct Award {
-  std::string owner;                                            ///< the shard that owns the job
-  std::vector<std::pair<std::uint32_t, std::uint32_t>> ranges;  ///< first task, number of tasks
+  std::string owner;              ///< the shard that owns the job
+  std::vector<TaskRange> ranges;  ///< sorted
   LiveJob job;
 };
 /// A machine that a shard owns.
--- a/src/core/negotiation/award_reader.cpp
+++ b/src/core/negotiation/award_reader.cpp
@@ -3,25 +3,22 @@
 #include <algorithm>
 #include <cstdlib>
 
+#include "core/negotiation/task_ranges.h"
+
 namespace bendtide {
 
 namespace {
 
 constexpr Micros kReadInterval = seconds(2);
+/// Finds the returned tasks whose notice was lost.
+constexpr Micros kOutgoingReadInterval = seconds(10);
+/// The shortest time between two reads of the awards that a shard has made, however many notices arrive.
+constexpr Micros kMinOutgoingReadInterval = seconds(2);
 /// Delays the read after a progress notice, so that notices in quick succession lead to a single read.
 constexpr Micros kNoticeReadDelay = millis(150);
 
 bool has_outgoing_awards(const Job& job) { return !job.awards.empty() && job.owner.empty(); }
 
-/// Returns the indices of the awarded tasks; indices that `job` does not have are left out.
-std::vector<std::uint32_t> awarded_tasks(const records::Award& award, const Job& job) {
-  std::vector<std::uint32_t> tasks;
-  for (const auto& [first, count] : award.ranges)
-    for (std::uint32_t task = first; task < first + count && task < job.tasks.size(); ++task)
-      tasks.push_back(task);
-  return tasks;
-}
-
 /// Returns the job of an award, owned by another shard, with none of its tasks assigned to this shard yet.
 Job make_awarded_job(const records::Award& award) {
   Job job;
@@ -33,6 +30,30 @@
   return job;
 }
 
+/// Lets awarded tasks wait, and tasks that are no longer awarded do so no longer.
+void apply_awards(Job& job) {
+  std::vector<bool> awarded(job.tasks.size());
+  for (const auto& [key, award] : job.awards)
+    for (const std::uint32_t task : tasks_in(award.ranges, job.tasks.size())) awarded[task] = true;
+  for (std::uint32_t task = 0; task < job.tasks.size(); ++task) {
+    const Task::State state = job.tasks[task].state;
+    if (awarded[task] && state == Task::State::elsewhere)
+      job.set_waiting(task);
+    else if (!awarded[task] && state == Task::State::waiting)
+      job.leave_waiting(task, {Task::State::elsewhere, nullptr, 0});
+  }
+  job.has_changed_awards = false;
+}
+
+/// Lets the tasks of an award that it no longer covers wait in the shard of the owner again.
+void take_back(Job& job, const std::vector<records::TaskRange>& before,
+               const std::vector<records::TaskRange>& now) {
+  std::vector<bool> still_awarded(job.tasks.size());
+  for (const std::uint32_t task : tasks_in(now, job.tasks.size())) still_awarded[task] = true;
+  for (const std::uint32_t task : tasks_in(before, job.tasks.size()))
+    if (!still_awarded[task] && job.tasks[task].state == Task::State::elsewhere) job.set_waiting(task);
+}
+
 /// Marks as done the tasks that the chunk records as done. Tasks placed in this shard are left alone, because
 /// their workers report how they end. Waiting tasks are marked only while the shard is being loaded.
 void apply_done_bits(Job& job, const records::DoneBits& done, ProgressRead read) {
@@ -72,13 +93,17 @@
   if (shard.award_read.due(state_.now())) read_awards(shard);
   const bool has_awarded = std::any_of(shard.jobs.begin(), shard.jobs.end(),
                                        [](const auto& entry) { return has_outgoing_awards(entry.second); });
-  if (has_awarded && shard.progress_read.due(state_.now())) read_progress(shard);
+  if (!has_awarded) return;
+  if (shard.outgoing_award_read.due(state_.now())) read_outgoing_awards(shard);
+  if (shard.progress_read.due(state_.now())) read_progress(shard);
 }
 
 void AwardReader::on_award_notice(const std::string& name) {
   Shard* shard = state_.ready_shard(name);
   if (shard == nullptr) return;
   shard->award_read.bring_forward(state_.now());
+  shard->outgoing_award_read.bring_forward(
+      std::max(state_.now(), shard->outgoing_awards_read_at + kMinOutgoingReadInterval));
   shard->quota.mark_stale();
 }
 
@@ -105,15 +130,18 @@
   if (!response.ok()) return;
   shard.award_freshness.confirm(requested_at, state_.context.settings.lease_term());
   shard.request_scheduling_pass();
-  load_awards(shard, response.entries, requested_at);
-  std::set<std::string> current;
-  for (const KeyValue& entry : response.entries) current.insert(entry.key);
+  std::set<std::string> stored_keys;
+  for (const KeyValue& entry : response.entries) stored_keys.insert(entry.key);
   for (auto& [id, job] : shard.jobs) {
     if (job.owner.empty()) continue;
-    const bool still_awarded = std::any_of(job.awards.begin(), job.awards.end(),
-                                           [&](const auto& award) { return current.contains(award.first); });
+    const auto removed =
+        std::erase_if(job.awards, [&](const auto& award) { return !stored_keys.contains(award.first); });
+    job.has_changed_awards |= removed > 0;
+  }
+  load_awards(shard, response.entries, requested_at);
+  for (auto& [id, job] : shard.jobs) {
     // The owner removes the awards of a job once the job is done or cancelled.
-    if (!still_awarded) shard.mark_ended(job);
+    if (!job.owner.empty() && job.awards.empty()) shard.mark_ended(job);
   }
 }
 
@@ -124,13 +152,19 @@
     if (key.size() != 4 || !award) continue;
     const std::string& winner = key[1];
     if (winner == shard.name)
-      load_incoming_award(shard, entry.key, *award, requested_at);
+      load_incoming_award(shard, entry, *award, requested_at);
     else if (award->owner == shard.name)
-      load_outgoing_award(shard, entry.key, winner, *award);
+      load_outgoing_award(shard, entry, winner, *award);
+  }
+  for (auto& [id, job] : shard.jobs) {
+    // A read that was requested before the last return may still show the tasks that were returned.
+    if (!job.has_changed_awards || job.tasks_in_return > 0 || requested_at < job.last_return_at) continue;
+    apply_awards(job);
+    shard.request_scheduling_pass();
   }
 }
 
-void AwardReader::load_incoming_award(Shard& shard, const std::string& key, const records::Award& award,
+void AwardReader::load_incoming_award(Shard& shard, const KeyValue& entry, const records::Award& award,
                                       Micros requested_at) {
   // The job may have ended since the read was requested.
   const std::string& id = award.job.spec.id;
@@ -143,23 +177,87 @@
     found = shard.jobs.emplace(id, std::move(awarded)).first;
   }
   Job& job = found->second;
-  if (job.owner.empty() || !job.awards.emplace(key, shard.name).second) return;
-  shard.request_scheduling_pass();
-  for (const std::uint32_t task : awarded_tasks(award, job))
-    if (job.tasks[task].state == Task::State::elsewhere) job.set_waiting(task);
+  // A job all of whose tasks were returned is loaded anew once it has left the shard.
+  if (job.owner.empty() || job.ended) return;
+  JobAward& known = job.awards[entry.key];
+  if (known.revision == entry.revision) return;
+  known = {shard.name, award.ranges, entry.revision, requested_at};
+  job.has_changed_awards = true;
 }
 
-void AwardReader::load_outgoing_award(Shard& shard, const std::string& key, const std::string& winner,
+void AwardReader::load_outgoing_award(Shard& shard, const KeyValue& entry, const std::string& winner,
                                       const records::Award& award) {
   const auto found = shard.jobs.find(award.job.spec.id);
   if (found == shard.jobs.end()) return;
   Job& job = found->second;
-  if (!job.awards.emplace(key, winner).second) return;
-  for (const std::uint32_t task : awarded_tasks(award, job))
+  const JobAward known{winner, award.ranges, entry.revision, state_.now()};
+  if (!job.awards.emplace(entry.key, known).second) return;
+  for (const std::uint32_t task : tasks_in(award.ranges, job.tasks.size()))
     if (job.tasks[task].state == Task::State::waiting)
       job.leave_waiting(task, {Task::State::elsewhere, nullptr, 0});
 }
 
+// ---- returned tasks ------------------------------------------------------------------------------
+
+void AwardReader::read_outgoing_awards(Shard& shard) {
+  shard.outgoing_award_read.begin();
+  shard.outgoing_award_read.schedule(state_.now() + kOutgoingReadInterval);
+  shard.outgoing_awards_read_at = state_.now();
+  state_.store.list(records::kAwardPrefix, [this, name = shard.name, leadership_term = shard.leadership_term,
+                                            requested_at = state_.now()](const StoreResponse& response) {
+    if (Shard* read_shard = state_.shard_in_term(name, leadership_term))
+      on_outgoing_awards_read(*read_shard, response, requested_at);
+  });
+}
+
+void AwardReader::on_outgoing_awards_read(Shard& shard, const StoreResponse& response, Micros requested_at) {
+  shard.outgoing_award_read.end();
+  if (!response.ok()) return;
+  OutgoingAwards stored;
+  for (const KeyValue& entry : response.entries) {
+    const auto award = records::read_award(entry.value);
+    StoredAward& of_key = stored[entry.key];
+    of_key.revision = entry.revision;
+    if (award) of_key.ranges = award->ranges;
+    of_key.is_readable = award.ok();
+  }
+  for (auto& [id, job] : shard.jobs) {
+    // While an award is being written, or the final state, awards may be gone for another reason.
+    if (!has_outgoing_awards(job) || job.tasks_in_award > 0 || job.finalizing || job.ended) continue;
+    take_back_returned_tasks(shard, job, stored, requested_at);
+  }
+}
+
+void AwardReader::take_back_returned_tasks(Shard& shard, Job& job, const OutgoingAwards& stored,
+                                           Micros requested_at) {
+  const std::size_t waiting_before = job.waiting.size();
+  std::vector<std::string> gone;
+  for (auto& [key, known] : job.awards) {
+    if (requested_at < known.known_since) continue;
+    const auto found = stored.find(key);
+    if (found == stored.end()) {
+      take_back(job, known.ranges, {});
+      gone.push_back(key);
+      continue;
+    }
+    const StoredAward& current = found->second;
+    if (!current.is_readable || current.revision == known.revision) continue;
+    take_back(job, known.ranges, current.ranges);
+    known = {known.winner, current.ranges, current.revision, requested_at};
+  }
+  for (const std::string& key : gone) job.awards.erase(key);
+  const std::size_t taken_back = job.waiting.size() - waiting_before;
+  if (taken_back == 0) return;
+  counters_.tasks_taken_back += taken_back;
+  job.next_call_for_proposals_at = state_.now();
+  shard.request_scheduling_pass();
+  state_.context.info(LogMessage("awarded tasks taken back")
+                          .shard(shard.name)
+                          .token(shard.fencing_token)
+                          .job(job.spec.id)
+                          .detail("tasks", taken_back));
+}
+
 void AwardReader::stop_stale_awards(Shard& shard, Machine& machine) {
   if (shard.award_freshness.is_valid(state_.now())) return;
   for (auto& [id, placement] : machine.tasks) {
--- a/src/core/negotiation/award_reader.h
+++ b/src/core/negotiation/award_reader.h
@@ -2,13 +2,17 @@
 // a shard: the tasks that other shards awarded to it, the tasks that it awarded to other shards, and which of
 // them are done.
 //
-// The shard that owns a job may remove an award at any time. Awarded tasks are therefore started and kept
-// running only while the last read of the award records is recent enough (see Shard::award_is_stale).
+// The shard that owns a job may remove an award at any time, and a winner may return tasks (AwardReturns).
+// The owner therefore also reads the awards that it has made: returned tasks wait in its shard again. Awarded
+// tasks are therefore started and kept running only while the last read of the award records is recent enough
+// (see Shard::award_is_stale).
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
+#include "core/negotiation/negotiation_counters.h"
 #include "core/state/controller_state.h"
 
 namespace bendtide {
@@ -21,12 +25,13 @@
 
 class AwardReader {
  public:
-  explicit AwardReader(ControllerState& state) : state_(state) {}
+  AwardReader(ControllerState& state, NegotiationCounters& counters) : state_(state), counters_(counters) {}
 
-  /// Reads the awards to a shard, and the progress of the tasks that it awarded, if the next read is due.
+  /// Reads the awards to a shard, those that it has made, and the progress of the tasks that it awarded, each
+  /// if the next read is due.
   void refresh(Shard& shard);
-  /// Handles the notice that the awards to a shard have changed. Its quota allocation may have changed as
-  /// well, and is marked stale.
+  /// Handles the notice that awards to a shard, or awards that it has made, have changed. Its quota
+  /// allocation may have changed as well, and is marked stale.
   void on_award_notice(const std::string& shard);
   /// Handles the notice that another shard has recorded finished tasks of jobs owned by this shard.
   void on_progress_notice(const std::string& shard);
@@ -38,15 +43,28 @@
   static void load_progress(Shard& shard, const std::vector<KeyValue>& entries, ProgressRead read);
 
  private:
+  /// The tasks of an award as stored, with the revision of its record.
+  struct StoredAward {
+    std::vector<records::TaskRange> ranges;
+    Revision revision = 0;
+    bool is_readable = false;
+  };
+  using OutgoingAwards = std::map<std::string, StoredAward>;  ///< by key
+
   void read_awards(Shard& shard);
   void on_awards_read(Shard& shard, const StoreResponse& response, Micros requested_at);
-  void read_progress(Shard& shard);
-  void load_incoming_award(Shard& shard, const std::string& key, const records::Award& award,
+  void load_incoming_award(Shard& shard, const KeyValue& entry, const records::Award& award,
                            Micros requested_at);
-  static void load_outgoing_award(Shard& shard, const std::string& key, const std::string& winner,
-                                  const records::Award& award);
+  void load_outgoing_award(Shard& shard, const KeyValue& entry, const std::string& winner,
+                           const records::Award& award);
+  void read_outgoing_awards(Shard& shard);
+  void on_outgoing_awards_read(Shard& shard, const StoreResponse& response, Micros requested_at);
+  /// Lets tasks wait again that the winners of a job's awards have returned.
+  void take_back_returned_tasks(Shard& shard, Job& job, const OutgoingAwards& stored, Micros requested_at);
+  void read_progress(Shard& shard);
 
   ControllerState& state_;
+  NegotiationCounters& counters_;
 };
 
 }  // namespace bendtide
--- a/src/core/negotiation/contract_net.cpp
+++ b/src/core/negotiation/contract_net.cpp
@@ -4,10 +4,11 @@
 
 ContractNet::ContractNet(ControllerState& state, Scheduler& scheduler, Hooks hooks)
     : state_(state),
-      quota_transfer_(state, counters_, std::move(hooks.invalidate_leases)),
+      quota_transfer_(state, counters_, hooks.invalidate_leases),
       initiator_(state, quota_transfer_, counters_),
       participant_(state, scheduler),
-      award_reader_(state) {}
+      award_reader_(state, counters_),
+      award_returns_(state, counters_, std::move(hooks.invalidate_leases)) {}
 
 void ContractNet::tick() {
   initiator_.decide_due_calls();
@@ -18,6 +19,7 @@
     award_reader_.refresh(shard);
     if (shard.award_freshness.is_valid(state_.now())) {
       initiator_.start_calls(shard);
+      award_returns_.return_unplaced_tasks(shard);
       continue;
     }
     for (auto& [machine_name, machine] : shard.machines) stop_stale_awards(shard, machine);
--- a/src/core/negotiation/contract_net.h
+++ b/src/core/negotiation/contract_net.h
@@ -7,13 +7,14 @@
 #pragma once
 
 #include "core/negotiation/award_reader.h"
+#include "core/negotiation/award_returns.h"
 #include "core/negotiation/initiator.h"
 #include "core/negotiation/participant.h"
 
 namespace bendtide {
 
-/// The interface of the contract net to the controller. Delegates to Initiator, Participant, QuotaTransfer
-/// and AwardReader, one for each duty.
+/// The interface of the contract net to the controller. Delegates to Initiator, Participant, QuotaTransfer,
+/// AwardReader and AwardReturns, one for each duty.
 class ContractNet {
  public:
   struct Hooks {
@@ -55,6 +56,7 @@
   Initiator initiator_;
   Participant participant_;
   AwardReader award_reader_;
+  AwardReturns award_returns_;
 };
 
 }  // namespace bendtide
--- a/src/core/negotiation/initiator.cpp
+++ b/src/core/negotiation/initiator.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/negotiation/task_ranges.h"
+
 namespace bendtide {
 
 namespace {
@@ -10,24 +12,10 @@
 constexpr std::size_t kMaxOpenNegotiations = 16;
 constexpr std::size_t kMaxCallsPerTick = 2;
 constexpr std::int64_t kMaxTasksPerAward = 4096;
-constexpr std::size_t kMaxRangeBytes = 16;  ///< upper bound for one range of tasks in an award record
 /// The writes of a job's final transaction that do not remove an award, plus the removal of one further
 /// award.
 constexpr std::size_t kReservedWrites = 3;
 
-/// Returns the tasks as sorted ranges of consecutive indices: pairs of first task and number of tasks.
-std::vector<std::pair<std::uint32_t, std::uint32_t>> ranges_of(std::vector<std::uint32_t> tasks) {
-  std::sort(tasks.begin(), tasks.end());
-  std::vector<std::pair<std::uint32_t, std::uint32_t>> ranges;
-  for (const std::uint32_t task : tasks) {
-    if (!ranges.empty() && ranges.back().first + ranges.back().second == task)
-      ++ranges.back().second;
-    else
-      ranges.emplace_back(task, 1);
-  }
-  return ranges;
-}
-
 /// The cost of a proposal: its start delay in seconds plus its load as a fraction. The lowest score wins.
 double score(const Proposal& proposal) {
   return in_seconds(proposal.start_delay) + static_cast<double>(proposal.load_permille) / 1000.0;
@@ -282,9 +270,7 @@
   award.job = job.spec.id;
   award.key = records::award_key(best.shard, job.spec.id, shard.next_attempt());
   award.proposed_revision = best.quota_revision;
-  // The award record must not exceed the maximum size of a value in the key-value store. The ranges may take
-  // half of it.
-  const std::size_t max_ranges = state_.context.settings.store_value_bytes / 2 / kMaxRangeBytes;
+  const std::size_t max_ranges = max_award_ranges(state_.context.settings.store_value_bytes);
   TaskSelection selection = select_tasks(job, count, max_ranges);
   award.tasks = std::move(selection.tasks);
   award.record = {shard.name, std::move(selection.ranges), {shard.name, job.spec, job.accepted_at}};
--- a/src/core/negotiation/quota_transfer.cpp
+++ b/src/core/negotiation/quota_transfer.cpp
@@ -76,7 +76,7 @@
   switch (response.outcome) {
     case Outcome::ok:
       shard->quota.set_revision(response.revision);
-      return finish(*shard, transfer, true);
+      return finish(*shard, transfer, true, response.revision);
     case Outcome::unknown:
       return resolve(*shard, transfer);
     case Outcome::conflict:
@@ -90,7 +90,8 @@
   }
 }
 
-void QuotaTransfer::finish(Shard& shard, const PendingTransfer& transfer, bool applied) {
+void QuotaTransfer::finish(Shard& shard, const PendingTransfer& transfer, bool applied,
+                           Revision award_revision) {
   if (applied)
     shard.quota.complete_transfer(transfer.team, transfer.amount);
   else
@@ -98,7 +99,7 @@
   shard.request_scheduling_pass();
   if (transfer.award) {
     const auto job = shard.jobs.find(transfer.award->job);
-    if (job != shard.jobs.end()) finish_award(job->second, transfer, applied, state_.now());
+    if (job != shard.jobs.end()) finish_award(job->second, transfer, applied, award_revision, state_.now());
   }
   if (!applied) return;
   if (transfer.award) {
@@ -115,14 +116,16 @@
   state_.send_to_leader_of(transfer.to, AwardNotice{transfer.to});
 }
 
-void QuotaTransfer::finish_award(Job& job, const PendingTransfer& transfer, bool applied, Micros now) {
-  job.tasks_in_award -= static_cast<std::uint32_t>(transfer.award->tasks.size());
+void QuotaTransfer::finish_award(Job& job, const PendingTransfer& transfer, bool applied,
+                                 Revision award_revision, Micros now) {
+  const AwardedTasks& award = *transfer.award;
+  job.tasks_in_award -= static_cast<std::uint32_t>(award.tasks.size());
   if (applied) {
-    job.awards[transfer.award->key] = transfer.to;
+    job.awards[award.key] = {transfer.to, award.record.ranges, award_revision, now};
     job.next_call_for_proposals_at = now;
     return;
   }
-  for (const std::uint32_t index : transfer.award->tasks) job.set_waiting(index);
+  for (const std::uint32_t index : award.tasks) job.set_waiting(index);
 }
 
 // ---- writes with an unknown outcome --------------------------------------------------------------
@@ -180,7 +183,7 @@
                                   const StoreResponse& response) {
   switch (response.outcome) {
     case Outcome::ok:
-      return finish_resolved(transfer, shares, true);
+      return finish_resolved(transfer, shares, true, response.entries.front().revision);
     case Outcome::absent:
       return finish_resolved(transfer, shares, false);
     case Outcome::conflict:
@@ -191,10 +194,10 @@
 }
 
 void QuotaTransfer::finish_resolved(const PendingTransfer& transfer, const QuotaLedger::Shares& shares,
-                                    bool applied) {
+                                    bool applied, Revision award_revision) {
   Shard* shard = state_.shard_in_term(transfer.from, transfer.leadership_term);
   if (shard == nullptr) return;
-  finish(*shard, transfer, applied);
+  finish(*shard, transfer, applied, award_revision);
   shard->quota.load(shares, shard->quota.revision());
   shard->request_scheduling_pass();
   shard->quota.mark_stale();
--- a/src/core/negotiation/quota_transfer.h
+++ b/src/core/negotiation/quota_transfer.h
@@ -59,8 +59,10 @@
   void commit(Shard& shard, const PendingTransfer& transfer, const QuotaLedger::Shares& receiver_shares,
               Revision receiver_revision);
   void on_committed(const PendingTransfer& transfer, const StoreResponse& response);
-  void finish(Shard& shard, const PendingTransfer& transfer, bool applied);
-  static void finish_award(Job& job, const PendingTransfer& transfer, bool applied, Micros now);
+  /// `award_revision`: of the award record, if the transfer was applied and has an award.
+  void finish(Shard& shard, const PendingTransfer& transfer, bool applied, Revision award_revision = 0);
+  static void finish_award(Job& job, const PendingTransfer& transfer, bool applied, Revision award_revision,
+                           Micros now);
 
   // The steps that determine the outcome of a write that got no answer.
   void resolve(Shard& shard, const PendingTransfer& transfer);
@@ -70,7 +72,8 @@
                                const StoreResponse& response);
   void on_award_read(const PendingTransfer& transfer, const QuotaLedger::Shares& shares,
                      const StoreResponse& response);
-  void finish_resolved(const PendingTransfer& transfer, const QuotaLedger::Shares& shares, bool applied);
+  void finish_resolved(const PendingTransfer& transfer, const QuotaLedger::Shares& shares, bool applied,
+                       Revision award_revision = 0);
 
   /// Returns the part of a team's share that a shard can transfer without keeping its own jobs from starting.
   static Quota transferable_quota(const Shard& shard, const QuotaTransferRequest& request);
--- a/src/core/placement/queue_order.cpp
+++ b/src/core/placement/queue_order.cpp
@@ -64,6 +64,7 @@
   for (auto& [id, job] : shard.jobs) {
     job.tasks_without_capacity = 0;
     job.quota_share_exhausted = false;
+    if (job.waiting.empty()) job.without_capacity_since = Micros{0};
     if (!shard.may_start(job, context.now)) continue;
     const std::string& team = job.spec.team;
     Urgency urgency = urgency_of(job, context);
--- a/src/core/placement/scheduler.cpp
+++ b/src/core/placement/scheduler.cpp
@@ -59,11 +59,13 @@
       job.quota_share_exhausted = true;
     job.tasks_without_capacity = count_tasks_without_capacity(job);
     if (job.tasks_without_capacity == 0) {
+      job.without_capacity_since = Micros{0};
       job.needs_machines = false;
       job.no_offering = false;
-    } else if (preemption.may_preempt_for(job)) {
-      preemption.preempt_for(entry, tasks_per_zone);
+      continue;
     }
+    if (job.without_capacity_since == Micros{0}) job.without_capacity_since = state_.now();
+    if (preemption.may_preempt_for(job)) preemption.preempt_for(entry, tasks_per_zone);
   }
 }
 
--- a/src/core/state/controller_state.h
+++ b/src/core/state/controller_state.h
@@ -15,6 +15,7 @@
   Revision revision = 0;    ///< of the lease record; 0 if there is none
   Micros absent_since{0};   ///< steady clock; when the record was first found absent; 0 if it is present
   bool ever_held = false;   ///< a lease record has been read since this process started
+  bool accepts_returned_tasks = false;  ///< the leader notices that awarded tasks are returned to the shard
 };
 
 /// The health of a peer, as known to this controller. Times are on the steady clock; -1 means never.
--- a/src/core/state/job.h
+++ b/src/core/state/job.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/model/job.h"
+#include "core/model/records.h"
 
 namespace bendtide {
 
@@ -25,6 +26,15 @@
   std::uint64_t attempt = 0;  ///< number of the current attempt; all others are to be stopped
 };
 
+/// An award of tasks of a job, as last read from or written to its record.
+struct JobAward {
+  std::string winner;  ///< the shard that the tasks are awarded to
+  std::vector<records::TaskRange> ranges;
+  Revision revision = 0;  ///< of the record
+  /// Steady clock. A read of the record that was requested before this time may show an older state.
+  Micros known_since{0};
+};
+
 /// A job that belongs to this shard, or the part of another shard's job whose tasks were awarded to this one.
 struct Job {
   JobSpec spec;
@@ -47,10 +57,14 @@
 
   // ---- contract net: negotiation with other shards
 
-  /// Winning shards by the key of the award record. At the owner: all awards of the job's tasks. At any other
-  /// shard: the awards to that shard.
-  std::map<std::string, std::string> awards;
-  std::uint32_t tasks_in_award = 0;      ///< at the owner: number of tasks in award writes in flight
+  /// By the key of the award record. At the owner: all awards of the job's tasks. At any other shard: the
+  /// awards to that shard.
+  std::map<std::string, JobAward> awards;
+  std::uint32_t tasks_in_award = 0;  ///< at the owner: number of tasks in award writes in flight
+  /// At the winner: number of tasks that are being returned to the owner. They are in state `elsewhere`.
+  std::uint32_t tasks_in_return = 0;
+  Micros last_return_at{0};              ///< at the winner; steady clock; when the last return ended
+  bool has_changed_awards = false;       ///< at the winner: the task states do not yet reflect the awards
   Micros next_call_for_proposals_at{0};  ///< steady clock; the earliest time of the next call for proposals
   /// The last call for proposals found no capacity in other shards, or no call can be made, so that machines
   /// have to be created.
@@ -59,7 +73,9 @@
   // ---- results of the last scheduling pass and the last scale-out
 
   std::uint32_t tasks_without_capacity = 0;  ///< number of tasks for which this shard has no capacity
-  bool quota_share_exhausted = false;        ///< the shard's share of the team's quota allows no more tasks
+  /// Steady clock; since when every scheduling pass has left tasks without capacity; 0 if the last did not.
+  Micros without_capacity_since{0};
+  bool quota_share_exhausted = false;  ///< the shard's share of the team's quota allows no more tasks
   /// Tasks may be placed only on machines that cache the image: once lower-priority tasks there have stopped,
   /// the job starts sooner than it would anywhere else after a fetch.
   bool only_where_cached = false;
--- a/src/core/state/shard.h
+++ b/src/core/state/shard.h
@@ -48,6 +48,9 @@
   QuotaLedger quota;
   AwardFreshness award_freshness;        ///< how long the awards to this shard may be acted on
   PeriodicRequest award_read;            ///< reads the awards to this shard
+  PeriodicRequest outgoing_award_read;   ///< reads the awards that this shard has made
+  Micros outgoing_awards_read_at{0};     ///< when the last such read was requested
+  PeriodicRequest award_return;          ///< returns awarded tasks that this shard cannot start
   PeriodicRequest progress_read;         ///< reads which tasks of this shard's jobs other shards finished
   PeriodicRequest unfinished_jobs_read;  ///< finds jobs whose acceptance write got no response
   PeriodicRequest finished_tasks_write;  ///< records the tasks that finished in this shard
--- a/tests/recorded_cases.cpp
+++ b/tests/recorded_cases.cpp
@@ -33,6 +33,8 @@
   return {
       {"hold", lease_key("node-0"), to_json(LeaseRecord{"node-0", "life-1"}).dump()},
       {"hold by another host", lease_key("node-0"), to_json(LeaseRecord{"node-2", ""}).dump()},
+      {"hold of a leader that accepts returned tasks", lease_key("node-0"),
+       to_json(LeaseRecord{"node-0", "life-1", true}).dump()},
       {"room", quota_key("node-0"), to_json(quota_shares).dump()},
       {"room without teams", quota_key("node-1"), to_json(QuotaAllocation{}).dump()},
   };
