Awards: a further award to the same shard replaces the first

Cause: the number of a job's awards is limited, because its final write removes all of them in one transaction, and an award kept its place until the job ended, even when all its tasks were done.

Change: an award to a shard that has an award of the job already is written under a new key, with the unfinished tasks of the old record, and removes the old record in the same transaction, on condition of its revision. A job thus has one award for each other shard, whatever the number of its tasks. The limits of a transaction and of a record's size are unchanged.

--- a/src/core/model/records.h
+++ b/src/core/model/records.h
@@ -56,7 +56,8 @@
 /// Consecutive tasks of a job: the first task and the number of tasks.
 using TaskRange = std::pair<std::uint32_t, std::uint32_t>;
 /// Tasks that the owner of a job has awarded to another shard, the winner. The winner removes the tasks that
-/// it returns to the owner; the owner removes the record when the job ends.
+/// it returns to the owner; the owner replaces the record when it awards further tasks of the job to the same
+/// shard, and removes it when the job ends.
 struct Award {
   std::string owner;              ///< the shard that owns the job
   std::vector<TaskRange> ranges;  ///< sorted
--- a/src/core/negotiation/initiator.cpp
+++ b/src/core/negotiation/initiator.cpp
@@ -21,6 +21,26 @@
   return in_seconds(proposal.start_delay) + static_cast<double>(proposal.load_permille) / 1000.0;
 }
 
+/// Returns the tasks of an award that are not known to be done.
+std::vector<std::uint32_t> unfinished_tasks(const Job& job, const JobAward& award) {
+  std::vector<std::uint32_t> tasks = tasks_in(award.ranges, job.tasks.size());
+  std::erase_if(tasks, [&](std::uint32_t task) { return job.tasks[task].state != Task::State::elsewhere; });
+  return tasks;
+}
+
+/// Returns the award to `winner` that an award with the key `new_key` can replace; null if there is none. The
+/// new key must come after the old one: a list of the awards that is read page by page then shows at least
+/// one of them.
+const std::pair<const std::string, JobAward>* replaceable_award(const Job& job, const std::string& winner,
+                                                                const std::string& new_key,
+                                                                std::size_t max_ranges) {
+  for (auto award = job.awards.rbegin(); award != job.awards.rend(); ++award)
+    if (award->second.winner == winner && award->first < new_key &&
+        ranges_of(unfinished_tasks(job, award->second)).size() < max_ranges)
+      return &*award;
+  return nullptr;
+}
+
 /// Whether the shards that refused `refused` would also refuse `job`: its tasks need at least the same
 /// resources under the same rules and at no higher priority.
 bool would_also_be_refused(const Job& job, const Job& refused) {
@@ -42,11 +62,21 @@
       next_call_id_(state.context.random() >> 8) {}
 
 /// Only the shard that owns a job may award its tasks, and only if the job's zone rules do not require a
-/// single scheduler to see all of its tasks. The number of awards of a job is limited because its final write
-/// removes all of them in one transaction.
-bool Initiator::may_be_awarded(const Job& job) const {
-  return job.owner.empty() && !job.spec.needs_single_controller() &&
-         job.awards.size() + kReservedWrites <= state_.context.settings.store_transaction_writes;
+/// single scheduler to see all of its tasks.
+bool Initiator::may_be_awarded(const Job& job) {
+  return job.owner.empty() && !job.spec.needs_single_controller();
+}
+
+/// An award to a shard that tasks of the job are awarded to already replaces that award.
+bool Initiator::may_be_awarded_to(const Job& job, const std::string& shard) const {
+  return may_have_further_award(job) ||
+         std::any_of(job.awards.begin(), job.awards.end(),
+                     [&](const auto& award) { return award.second.winner == shard; });
+}
+
+/// The number of awards of a job is limited because its final write removes all of them in one transaction.
+bool Initiator::may_have_further_award(const Job& job) const {
+  return job.awards.size() + kReservedWrites <= state_.context.settings.store_transaction_writes;
 }
 
 // ---- calls ---------------------------------------------------------------------------------------
@@ -180,7 +210,8 @@
   std::vector<Proposal> feasible;
   if (!may_be_awarded(job)) return feasible;
   for (const auto& [name, proposal] : negotiation.proposals)
-    if (proposal.tasks > 0 && proposal.tasks <= negotiation.call.tasks && proposal.quota_revision != 0)
+    if (proposal.tasks > 0 && proposal.tasks <= negotiation.call.tasks && proposal.quota_revision != 0 &&
+        may_be_awarded_to(job, proposal.shard))
       feasible.push_back(proposal);
   std::sort(feasible.begin(), feasible.end(), [](const Proposal& a, const Proposal& b) {
     return std::pair(score(a), a.shard) < std::pair(score(b), b.shard);
@@ -254,49 +285,59 @@
 // ---- awards --------------------------------------------------------------------------------------
 
 /// Awards as many tasks as the proposal accepts and the quota allows, and transfers the quota share that the
-/// winner lacks for them.
+/// winner lacks for them. The new record also covers the unfinished tasks of an earlier award to the same
+/// shard, if it can replace that award.
 void Initiator::award(Shard& shard, Job& job, const Proposal& best) {
   if (!shard.quota.is_current()) return;
-  const Quota each = quota_of(job.spec.task_resources);
-  const Quota spare = shard.quota.spare(job.spec.team);
-  const std::int64_t count =
-      std::min<std::int64_t>({best.tasks, static_cast<std::int64_t>(job.waiting.size()), kMaxTasksPerAward,
-                              (best.free_quota_share + spare).count_that_fit(each)});
+  const std::int64_t count = count_tasks_to_award(shard, job, best);
   if (count <= 0) return;
-  job.needs_machines = false;
-  const Quota lacking = at_least_zero(each * count - best.free_quota_share);
-
   AwardedTasks award;
   award.job = job.spec.id;
   award.key = records::award_key(best.shard, job.spec.id, shard.next_attempt());
   award.proposed_revision = best.quota_revision;
   const std::size_t max_ranges = max_award_ranges(state_.context.settings.store_value_bytes);
-  TaskSelection selection = select_tasks(job, count, max_ranges);
-  award.tasks = std::move(selection.tasks);
-  award.record = {shard.name, std::move(selection.ranges), {shard.name, job.spec, job.accepted_at}};
+  const auto* replaced = replaceable_award(job, best.shard, award.key, max_ranges);
+  if (replaced == nullptr && !may_have_further_award(job)) return;
+  std::vector<std::uint32_t> recorded_tasks;
+  if (replaced != nullptr) {
+    award.replaced = Compare{replaced->first, replaced->second.revision};
+    recorded_tasks = unfinished_tasks(job, replaced->second);
+  }
+  award.tasks = select_tasks(job, count, max_ranges - ranges_of(recorded_tasks).size());
+  recorded_tasks.insert(recorded_tasks.end(), award.tasks.begin(), award.tasks.end());
+  award.record = {shard.name, ranges_of(recorded_tasks), {shard.name, job.spec, job.accepted_at}};
+  job.needs_machines = false;
   job.tasks_in_award += static_cast<std::uint32_t>(award.tasks.size());
+  const Quota each = quota_of(job.spec.task_resources);
+  const Quota lacking = at_least_zero(each * count - best.free_quota_share);
   quota_transfer_.start(shard, best.shard, job.spec.team, lacking, std::move(award));
 }
 
+std::int64_t Initiator::count_tasks_to_award(const Shard& shard, const Job& job, const Proposal& best) const {
+  const Quota each = quota_of(job.spec.task_resources);
+  const Quota spare = shard.quota.spare(job.spec.team);
+  return std::min<std::int64_t>({best.tasks, static_cast<std::int64_t>(job.waiting.size()), kMaxTasksPerAward,
+                                 (best.free_quota_share + spare).count_that_fit(each)});
+}
+
 /// Selects up to `count` waiting tasks, which leave the waiting state. Selects fewer if they would form more
 /// than `max_ranges` ranges.
-Initiator::TaskSelection Initiator::select_tasks(Job& job, std::int64_t count, std::size_t max_ranges) {
-  TaskSelection selection;
+std::vector<std::uint32_t> Initiator::select_tasks(Job& job, std::int64_t count, std::size_t max_ranges) {
+  std::vector<std::uint32_t> selected;
   for (std::int64_t i = 0; i < count; ++i) {
-    const std::uint32_t task = job.waiting.back();
-    selection.tasks.push_back(task);
-    job.leave_waiting(task, {Task::State::elsewhere, nullptr, 0});
+    selected.push_back(job.waiting.back());
+    job.leave_waiting(selected.back(), {Task::State::elsewhere, nullptr, 0});
   }
-  selection.ranges = ranges_of(selection.tasks);
-  while (selection.ranges.size() > max_ranges) {
-    const auto [first, length] = selection.ranges.back();
+  std::vector<records::TaskRange> ranges = ranges_of(selected);
+  while (ranges.size() > max_ranges) {
+    const auto [first, length] = ranges.back();
     for (std::uint32_t task = first; task < first + length; ++task) {
-      std::erase(selection.tasks, task);
+      std::erase(selected, task);
       job.set_waiting(task);
     }
-    selection.ranges.pop_back();
+    ranges.pop_back();
   }
-  return selection;
+  return selected;
 }
 
 }  // namespace bendtide
--- a/src/core/negotiation/initiator.h
+++ b/src/core/negotiation/initiator.h
@@ -37,14 +37,10 @@
     std::map<std::string, Proposal> proposals;  ///< received in this round, by shard
     Micros decide_at{0};                        ///< steady clock
   };
-  /// Tasks of a job selected for an award; they are no longer waiting.
-  struct TaskSelection {
-    std::vector<std::uint32_t> tasks;
-    /// The same tasks as pairs of first task and number of tasks.
-    std::vector<std::pair<std::uint32_t, std::uint32_t>> ranges;
-  };
 
-  bool may_be_awarded(const Job& job) const;
+  static bool may_be_awarded(const Job& job);
+  bool may_be_awarded_to(const Job& job, const std::string& shard) const;
+  bool may_have_further_award(const Job& job) const;
   std::vector<Job*> jobs_due_for_call(Shard& shard) const;
   bool start_call(Shard& shard, Job& job);
   CallForProposals make_call(const Shard& shard, const Job& job);
@@ -59,7 +55,8 @@
   void request_quota(const Shard& shard, const Job& job, const Negotiation& negotiation);
   static void mark_similar_refused(Shard& shard, const Job& refused);
   void award(Shard& shard, Job& job, const Proposal& best);
-  static TaskSelection select_tasks(Job& job, std::int64_t count, std::size_t max_ranges);
+  std::int64_t count_tasks_to_award(const Shard& shard, const Job& job, const Proposal& best) const;
+  static std::vector<std::uint32_t> select_tasks(Job& job, std::int64_t count, std::size_t max_ranges);
 
   ControllerState& state_;
   QuotaTransfer& quota_transfer_;
--- a/src/core/negotiation/quota_transfer.cpp
+++ b/src/core/negotiation/quota_transfer.cpp
@@ -65,6 +65,11 @@
     transaction.compares.push_back({records::final_job_key(transfer.award->job), 0});
     transaction.compares.push_back({transfer.award->key, 0});
     transaction.writes.push_back({transfer.award->key, records::to_json(transfer.award->record), 0});
+    if (transfer.award->replaced) {
+      // The winner may have returned tasks of the award to be replaced.
+      transaction.compares.push_back(*transfer.award->replaced);
+      transaction.writes.push_back({transfer.award->replaced->key, std::nullopt, 0});
+    }
   }
   state_.commit_fenced(shard, std::move(transaction),
                        [this, transfer](const StoreResponse& response) { on_committed(transfer, response); });
@@ -82,6 +87,7 @@
     case Outcome::conflict:
       ++counters_.conflicts;
       shard->quota.mark_stale();
+      shard->outgoing_award_read.bring_forward(state_.now());
       invalidate_leases_();
       return finish(*shard, transfer, false);
     case Outcome::absent:
@@ -121,10 +127,14 @@
   const AwardedTasks& award = *transfer.award;
   job.tasks_in_award -= static_cast<std::uint32_t>(award.tasks.size());
   if (applied) {
+    if (award.replaced) job.awards.erase(award.replaced->key);
     job.awards[award.key] = {transfer.to, award.record.ranges, award_revision, now};
     job.next_call_for_proposals_at = now;
     return;
   }
+  if (award.replaced)
+    if (const auto kept = job.awards.find(award.replaced->key); kept != job.awards.end())
+      kept->second.known_since = now;
   for (const std::uint32_t index : award.tasks) job.set_waiting(index);
 }
 
--- a/src/core/negotiation/quota_transfer.h
+++ b/src/core/negotiation/quota_transfer.h
@@ -22,7 +22,9 @@
   std::string job;
   std::string key;  ///< key of the award record
   records::Award record;
-  std::vector<std::uint32_t> tasks;
+  std::vector<std::uint32_t> tasks;  ///< the tasks that were waiting; the record may cover further ones
+  /// The award to the same shard that this one replaces, if any.
+  std::optional<Compare> replaced{};
   /// The winner's proposal is valid only for this revision of its allocation record.
   Revision proposed_revision;
 };
--- a/tests/waiting_jobs_test.cpp
+++ b/tests/waiting_jobs_test.cpp
@@ -66,6 +66,16 @@
   expect_all_jobs_served(scenario);
 }
 
+// Guards against a count of awards that is never given back: an array was awarded to other shards ten times
+// at most, and the rest of its tasks waited for good beside machines with room.
+TEST(AwardCount, ArrayIsAwardedUntilAllTasksAreDone) {
+  FaultScenario scenario = cluster_without_spare_machines();
+  JobSpec array = job_of("run-200", Shape::array, 80, 2000);
+  scenario.planned_jobs = {service_at("run-101", 4, 1), service_at("run-102", 4, 2), {array, seconds(14), 0}};
+  scenario.faults = {{.at = seconds(12), .kind = FaultKind::machine_dies, .machine = "n-000003"}};
+  expect_all_jobs_served(scenario);
+}
+
 // ---- one controller ------------------------------------------------------------------------------
 
 /// One shard, "a", and its peer "b", with a contract net that hears of the key-value store from the test.
@@ -286,5 +296,48 @@
   EXPECT_EQ(t.job().waiting.size(), 2u);
 }
 
+/// Lets shard "b" propose to take `tasks` tasks in response to the last call for proposals, and answers the
+/// reads and writes of the resulting award with success.
+void propose_and_award(AwardFixture& t, double moment, std::uint32_t tasks) {
+  std::optional<CallForProposals> call;
+  t.at(moment, [&] {
+    t.scheduler.run_pass(t.shard);
+    t.net.tick();
+    for (const Action& action : t.context.actions)
+      if (const auto* send = std::get_if<PeerSend>(&action))
+        if (const auto* sent = std::get_if<CallForProposals>(&send->message)) call = *sent;
+  });
+  ASSERT_TRUE(call) << "no call for proposals at " << moment;
+  Proposal proposal{call->id, call->round, "b", tasks, {}, 0, 7, {4000, 0}};
+  t.at(moment + 0.1, [&] {
+    t.net.on_proposal(proposal);
+    t.net.tick();
+  });
+  const records::QuotaAllocation allocation{{{"t", {4000, 0}}}};
+  t.respond_to_last(read_response(records::quota_key("b"), records::to_json(allocation), 7));
+}
+
+// An award to a shard that has one already replaces it, so that the final write of a job can remove all its
+// awards however often tasks are awarded. Tasks that are done are left out.
+TEST(AwardCount, FurtherAwardToSameShardReplacesTheFirst) {
+  OwnerOfAward t;
+  t.add_peer("b");
+  t.job().mark_done(2, true);
+  propose_and_award(t, 101, 1);
+  const std::size_t write = t.last_transaction();
+  const Transaction& transaction = t.transaction_of(write);
+  ASSERT_EQ(transaction.writes.size(), 4u);
+  const auto award = records::read_award(*transaction.writes[2].value);
+  ASSERT_TRUE(award);
+  EXPECT_EQ(award->ranges, (std::vector<records::TaskRange>{{0, 1}, {3, 1}}));
+  EXPECT_EQ(transaction.writes[3].key, t.key);
+  EXPECT_FALSE(transaction.writes[3].value);
+  EXPECT_TRUE(compares(transaction, t.key, 19)) << "the winner may have returned tasks";
+  t.respond(write, write_response(31));
+  ASSERT_EQ(t.job().awards.size(), 1u);
+  EXPECT_EQ(t.job().awards.begin()->first, transaction.writes[2].key);
+  EXPECT_LT(t.key, transaction.writes[2].key) << "a list read page by page must show one of the two";
+}
+
 }  // namespace
 }  // namespace bendtide::sim
