Placement: a job avoids a machine on which it failed for 30 s only

Change: the name is kept with the time until which the job avoids the machine. Whether the job itself is suspected to be faulty depends on the same names as before.

--- a/src/core/placement/placer.cpp
+++ b/src/core/placement/placer.cpp
@@ -76,7 +76,7 @@
   const Machine& machine = *capacity.machine;
   if (!job.spec.task_resources.fits_in(capacity.free) || !is_allowed_on(job, machine, tasks_per_zone))
     return false;
-  if (job.failed_on.contains(machine.name) && shard.machines.size() > job.failed_on.size()) return false;
+  if (job.avoids(machine.name, state_.now()) && shard.machines.size() > job.failed_on.size()) return false;
   return !job.only_where_cached || machine.images.contains(job.spec.image);
 }
 
--- a/src/core/placement/preemption.cpp
+++ b/src/core/placement/preemption.cpp
@@ -157,7 +157,7 @@
   for (const FreeCapacity& capacity : capacities_) {
     const Machine& machine = *capacity.machine;
     if (!machine.images.contains(job.spec.image) || !is_allowed_on(job, machine, tasks_per_zone) ||
-        job.failed_on.contains(machine.name))
+        job.avoids(machine.name, state_.now()))
       continue;
     if (state_.fetch_time(job.spec, machine.type) <= kQuickStopTime) return false;
     if (job.spec.task_resources.fits_in(machine.free())) return false;  // placed there without preemption
--- a/src/core/placement/scheduler.cpp
+++ b/src/core/placement/scheduler.cpp
@@ -70,7 +70,7 @@
 }
 
 bool Scheduler::may_start_on(const Shard& shard, const Job& job, const Machine& machine) const {
-  return shard.may_start(job, state_.now()) && !job.failed_on.contains(machine.name);
+  return shard.may_start(job, state_.now()) && !job.avoids(machine.name, state_.now());
 }
 
 void Scheduler::fill_machine(Shard& shard, Machine& machine) {
--- a/src/core/state/job.h
+++ b/src/core/state/job.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -50,10 +49,12 @@
   std::vector<bool> recorded;          ///< by task index: its completion is recorded in the key-value store
   std::vector<std::uint32_t> unrecorded;  ///< indexes of done tasks not yet recorded in the key-value store
   std::uint32_t placement_count = 0;      ///< number of its placements that take resources
-  std::set<std::string> failed_on;        ///< names of the machines on which a task of the job failed
-  bool succeeded = false;                 ///< at least one task is done
-  Micros retry_at{0};  ///< steady clock; no task is started, and the job not ended as done, before this
-  int failures = 0;    ///< total task failures; the backoff before a retry grows with it
+  /// By name of a machine on which a task of the job failed: until when the job avoids the machine (steady
+  /// clock). The failure may be due to a fault of the machine that passes.
+  std::map<std::string, Micros> failed_on;
+  bool succeeded = false;  ///< at least one task is done
+  Micros retry_at{0};      ///< steady clock; no task is started, and the job not ended as done, before this
+  int failures = 0;        ///< total task failures; the backoff before a retry grows with it
 
   // ---- contract net: negotiation with other shards
 
@@ -87,6 +88,11 @@
   /// Returns whether the job itself is presumed faulty, because it failed on two or more machines and no task
   /// of it succeeded. Such a job is limited to one attempt at a time.
   bool is_suspect() const { return !succeeded && failed_on.size() >= 2; }
+  /// Returns whether no task of the job may be placed on the machine, because one failed there not long ago.
+  bool avoids(const std::string& machine, Micros now) const {
+    const auto failed = failed_on.find(machine);
+    return failed != failed_on.end() && now < failed->second;
+  }
   /// Wall clock; Micros::max() if the job has no deadline.
   Micros deadline_at() const { return spec.deadline ? accepted_at + *spec.deadline : Micros::max(); }
 
--- a/src/core/workers/task_tracker.cpp
+++ b/src/core/workers/task_tracker.cpp
@@ -1,5 +1,7 @@
 #include "core/workers/task_tracker.h"
 
+#include <algorithm>
+
 namespace bendtide {
 
 namespace {
@@ -8,6 +10,8 @@
 constexpr std::size_t kFailedJobsToQuarantine = 2;
 constexpr Micros kCordonAfterRefusal = seconds(1);
 constexpr Micros kRetryAfterUnknownEnd = seconds(1);
+/// How long a job avoids a machine on which one of its tasks failed. A fault of the machine may pass.
+constexpr Micros kAvoidedAfterFailure = seconds(30);
 constexpr Micros kFirstRetry = seconds(1);
 constexpr Micros kLongestRetry = seconds(30);
 constexpr int kMaxRetryDoublings = 5;
@@ -144,8 +148,10 @@
 /// that are not faulty.
 void TaskTracker::on_attempt_failed(Shard& shard, Machine& machine, Job& job) {
   ++job.failures;
-  job.failed_on.insert(machine.name);
-  if (job.failed_on.size() > kMaxFailedMachinesPerJob) job.failed_on.erase(job.failed_on.begin());
+  job.failed_on[machine.name] = state_.now() + kAvoidedAfterFailure;
+  if (job.failed_on.size() > kMaxFailedMachinesPerJob)
+    job.failed_on.erase(std::min_element(job.failed_on.begin(), job.failed_on.end(),
+                                         [](const auto& a, const auto& b) { return a.second < b.second; }));
   if (job.is_suspect()) {
     const Micros delay = kFirstRetry * (1 << std::min(job.failures, kMaxRetryDoublings));
     job.retry_at = state_.now() + std::min(kLongestRetry, delay);
--- a/tests/waiting_jobs_test.cpp
+++ b/tests/waiting_jobs_test.cpp
@@ -76,6 +76,24 @@
   expect_all_jobs_served(scenario);
 }
 
+// Guards against a machine that is left out for good: a job that had failed once on a machine was never
+// started there again, although the fault of the machine had passed and no other machine had room.
+TEST(FailedOnce, JobReturnsToMachineWhoseFaultHasPassed) {
+  FaultScenario scenario = cluster_without_spare_machines();
+  scenario.initial_zones = std::vector<std::string>(6, "east");
+  scenario.faults_until = seconds(19);
+  for (const auto& [id, controller] : std::map<std::string, std::size_t>{
+           {"run-101", 0}, {"run-102", 1}, {"run-103", 1}, {"run-104", 2}, {"run-105", 2}, {"run-200", 0}})
+    scenario.planned_jobs.push_back(
+        {job_of(id, Shape::service, 1, 8000), seconds(id == "run-200" ? 16 : 12), controller});
+  scenario.faults = {{.at = seconds(15), .kind = FaultKind::machine_fails_tasks, .machine = "n-000006"}};
+  SimulatedCluster cluster(scenario);
+  cluster.run();
+  EXPECT_GT(cluster.max_failures_on_a_machine(), 0u);
+  EXPECT_EQ(cluster.checker().summary(), "");
+  EXPECT_EQ(cluster.unfinished_jobs(), std::vector<std::string>{});
+}
+
 // ---- one controller ------------------------------------------------------------------------------
 
 /// One shard, "a", and its peer "b", with a contract net that hears of the key-value store from the test.
