QuotaTransfer: a share too small for an older job is kept for 30 s only

Cause: a decision for good on what holds for a while: the reservation had no end, although the shard may never obtain the rest.

Change: the reservation ends once the older job has been without capacity for 30 s, in which its shard has requested the rest from the others several times.

Test: QuotaReservation.EndsIfOlderJobCannotObtainTheRest fails without the end of the reservation (trial on a scratch copy of the sources) and passes.

--- a/src/core/negotiation/quota_transfer.cpp
+++ b/src/core/negotiation/quota_transfer.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Micros kResolveRetryDelay = millis(300);
+/// How long a share that is too small for a job is kept for it while the shard requests the rest from others.
+constexpr Micros kMaxReservation = seconds(30);
 
 /// Returns the allocation in the first entry of a response, or none if there is no entry or it can't be
 /// parsed.
@@ -219,24 +221,28 @@
   Shard* shard = state_.ready_shard(request.from);
   if (shard == nullptr || request.to == request.from || !state_.routes.contains(request.to)) return;
   if (!shard->quota.is_current() || !shard->quota.has_share_of(request.team)) return;
-  const Quota spare = at_least_zero(transferable_quota(*shard, request));
+  const Quota spare = at_least_zero(transferable_quota(*shard, request, state_.now()));
   const Quota wanted = at_least_zero(request.max_amount);
   const Quota amount{std::min(spare.cpu, wanted.cpu), std::min(spare.gpu, wanted.gpu)};
   if (amount == Quota{}) return;
   start(*shard, request.to, request.team, amount, std::nullopt);
 }
 
-Quota QuotaTransfer::transferable_quota(const Shard& shard, const QuotaTransferRequest& request) {
+Quota QuotaTransfer::transferable_quota(const Shard& shard, const QuotaTransferRequest& request, Micros now) {
   const Quota unused = shard.quota.free(request.team);
   Quota spare = unused;
   for (const auto& [id, job] : shard.jobs) {
     if (job.spec.team != request.team || job.ended || job.waiting.empty()) continue;
     // No share is kept for a job that the cloud offers no machine for, as other shards can use it.
     if (job.no_offering) continue;
-    // No share is kept for a job that the unused share is too small for, if the peer's job has waited longer.
-    // Otherwise two shards could each keep a share too small for their own job, and neither job would start.
+    // No share is kept for a job that the unused share is too small for, if the peer's job has waited longer,
+    // or if this shard could not obtain the rest in time. Otherwise two shards could each keep a share too
+    // small for their own job, and neither job would start.
     const Quota each = quota_of(job.spec.task_resources);
-    if (request.job_accepted_at < job.accepted_at && unused.count_that_fit(each) == 0) continue;
+    const bool too_small = unused.count_that_fit(each) == 0;
+    const bool rest_not_obtained =
+        job.without_capacity_since != Micros{0} && now - job.without_capacity_since >= kMaxReservation;
+    if (too_small && (request.job_accepted_at < job.accepted_at || rest_not_obtained)) continue;
     const auto reserved = job.is_suspect() ? 1 : static_cast<std::int64_t>(job.waiting.size());
     spare -= each * reserved;
   }
--- a/src/core/negotiation/quota_transfer.h
+++ b/src/core/negotiation/quota_transfer.h
@@ -78,7 +78,7 @@
                        Revision award_revision = 0);
 
   /// Returns the part of a team's share that a shard can transfer without keeping its own jobs from starting.
-  static Quota transferable_quota(const Shard& shard, const QuotaTransferRequest& request);
+  static Quota transferable_quota(const Shard& shard, const QuotaTransferRequest& request, Micros now);
 
   ControllerState& state_;
   NegotiationCounters& counters_;
--- a/tests/waiting_jobs_test.cpp
+++ b/tests/waiting_jobs_test.cpp
@@ -357,5 +357,24 @@
   EXPECT_LT(t.key, transaction.writes[2].key) << "a list read page by page must show one of the two";
 }
 
+// Guards against a share that is kept for good: the unused share of a team was kept for an older job that was
+// too large for it, and a younger job of another shard waited although it would have fit.
+TEST(QuotaReservation, EndsIfOlderJobCannotObtainTheRest) {
+  AwardFixture t;
+  t.shard.quota.load({{"t", {800, 0}}}, 5);
+  Jobs::load(t.shard, {"a", JobsFixture::spec(), seconds(900'000)});  // needs a share of 1000
+  const QuotaTransferRequest request{"a", "b", "t", {500, 0}, seconds(950'000)};
+  for (const auto& [moment, expected_reads] : {std::pair{101.0, 0}, {120.0, 0}, {131.5, 1}}) {
+    t.at(moment, [&] {
+      t.job().may_be_on_unreconciled_machines = false;
+      t.shard.request_scheduling_pass();
+      t.scheduler.run_pass(t.shard);
+    });
+    t.calls.clear();
+    t.at(moment, [&] { t.net.on_quota_transfer_request(request); });
+    EXPECT_EQ(t.calls.size(), static_cast<std::size_t>(expected_reads)) << "after " << moment << " s";
+  }
+}
+
 }  // namespace
 }  // namespace bendtide::sim
