Tests: late copies of start commands, simulated and on real processes

Need: on another service, a late copy of a start command that had been carried out and answered ran a task on two machines, and a cancelled task again, after a controller or a machine had come back within a second.

Change: LateStartCopies keeps copies of such requests and delivers each of them every 250 ms.

--- a/lab/fault_injector.cpp
+++ b/lab/fault_injector.cpp
@@ -19,6 +19,7 @@
 constexpr double kMachineFaultProbability = 0.25;  ///< probability that a fault of machines hits a machine
 constexpr Micros kMaxCommandDelay = seconds(10);
 constexpr int kMaxCancelledJobs = 6;
+constexpr Micros kComebackInterval = millis(500);
 
 }  // namespace
 
@@ -54,9 +55,28 @@
   return all;
 }
 
+const std::vector<FaultInjector::Fault>& FaultInjector::comebacks() {
+  using F = FaultInjector;
+  static const std::vector<Fault> all{
+      {"tasks fail on machines", {1.5, 2.5}, &F::fail_tasks},
+      {"machines hang", {0.1, 0.4}, &F::hang_machines},
+      {"one controller killed", {0.02, 0.3}, &F::kill_one_controller},
+      {"machines hang", {0.1, 0.4}, &F::hang_machines},
+      {"jobs cancelled", {}, &F::cancel_jobs},
+      {"tasks fail on machines", {1.5, 2.5}, &F::fail_tasks},
+      {"machines hang", {0.1, 0.4}, &F::hang_machines},
+      {"key-value store refuses one controller", {3, 6}, &F::refuse_store_requests},
+      {"machines hang", {0.1, 0.4}, &F::hang_machines},
+      {"jobs cancelled", {}, &F::cancel_jobs}};
+  return all;
+}
+
 void FaultInjector::start() {
   set_store_latency(kSlowResponseShare, kSlowResponseMaxSeconds);
-  if (lab_.plan.inject_faults) lab_.loop.spawn(inject_at_random());
+  if (lab_.plan.late_start_copies)
+    lab_.loop.spawn(inject_comebacks());
+  else if (lab_.plan.inject_faults)
+    lab_.loop.spawn(inject_at_random());
 }
 
 io::Task<> FaultInjector::inject_at_random() {
@@ -70,6 +90,14 @@
   set_store_latency(0, 0);
 }
 
+io::Task<> FaultInjector::inject_comebacks() {
+  co_await lab_.loop.sleep(kFirstFaultAt);
+  for (std::size_t i = 0; lab_.now() < lab_.plan.fault_phase; ++i) {
+    inject(comebacks().at(i % comebacks().size()));
+    co_await lab_.loop.sleep(kComebackInterval);
+  }
+}
+
 void FaultInjector::inject(const Fault& fault) {
   lab_.history.add(std::string("injector: ") + fault.name);
   ++injected_faults_;
@@ -95,8 +123,10 @@
   return [this, controller](bool on) {
     if (on)
       controllers_.kill(controller);
-    else
+    else {
       controllers_.start(controller);
+      lab_.late_start_copies.on_controller_returned("");
+    }
   };
 }
 
@@ -208,6 +238,7 @@
     if (lab_.random_fraction() > kMachineFaultProbability) continue;
     switches.emplace_back([this, name, flag](bool on) {
       if (sim::SimulatedWorker* worker = workers_.worker(name)) worker->*flag = on;
+      if (!on && flag != &sim::SimulatedWorker::fails_tasks) lab_.late_start_copies.on_machine_returned(name);
     });
   }
   return switches;
@@ -217,6 +248,10 @@
   return switches_for_some_machines(&sim::SimulatedWorker::hanging);
 }
 
+std::vector<FaultInjector::Switch> FaultInjector::fail_tasks() {
+  return switches_for_some_machines(&sim::SimulatedWorker::fails_tasks);
+}
+
 std::vector<FaultInjector::Switch> FaultInjector::make_unreachable_outbound() {
   return switches_for_some_machines(&sim::SimulatedWorker::unreachable_outbound);
 }
--- a/lab/fault_injector.h
+++ b/lab/fault_injector.h
@@ -38,8 +38,11 @@
     std::vector<Switch> (FaultInjector::*make_switches)();
   };
   static const std::vector<Fault>& faults();
+  static const std::vector<Fault>& comebacks();
 
   io::Task<> inject_at_random();
+  /// Injects the faults after which late copies of start commands matter, in turn.
+  io::Task<> inject_comebacks();
   /// Starts a fault and schedules its end.
   void inject(const Fault& fault);
   io::Task<> end_after(Micros delay, Switch fault_switch);
@@ -59,6 +62,7 @@
   std::vector<Switch> block_heartbeats();
   std::vector<Switch> kill_machine();
   std::vector<Switch> hang_machines();
+  std::vector<Switch> fail_tasks();
   std::vector<Switch> make_unreachable_outbound();
   std::vector<Switch> make_unreachable_inbound();
   std::vector<Switch> duplicate_heartbeats_late();
--- a/lab/laboratory.cpp
+++ b/lab/laboratory.cpp
@@ -29,6 +29,7 @@
       random(plan.seed),
       settings(make_settings()),
       history([this] { return now(); }),
-      checker(settings) {}
+      checker(settings),
+      late_start_copies(checker) {}
 
 }  // namespace bendtide::lab
--- a/lab/laboratory.h
+++ b/lab/laboratory.h
@@ -8,6 +8,7 @@
 #include "history.h"
 #include "io/loop.h"
 #include "sim/checker.h"
+#include "sim/late_start_copies.h"
 #include "sim/simulated_key_value_store.h"
 #include "sim/simulated_worker.h"
 
@@ -36,6 +37,9 @@
   int max_machines = 24;                ///< capacity of the cloud
   double jobs_per_second = 2;
   bool inject_faults = true;
+  /// Copies of start commands that were carried out and answered reach their machines again and again. A copy
+  /// that starts anything is a violation, and so is a pair of circumstances in which no copy arrived.
+  bool late_start_copies = false;
   PlantedDefect planted_defect = PlantedDefect::none;
   std::string expected_rule;  ///< violated by the planted defect; the soak ends at the violation
   int base_port = 0;
@@ -80,6 +84,7 @@
   Settings settings;
   History history;
   sim::Checker checker;
+  sim::LateStartCopies late_start_copies;
   std::map<std::string, JobSpec> job_specs;
   bool closing = false;  ///< set at the end of the soak: periodic coroutines return
 };
--- a/lab/soak.cpp
+++ b/lab/soak.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Micros kCheckInterval = millis(100);
+constexpr Micros kCopyInterval = millis(250);
 constexpr Micros kMetricsTimeout = seconds(2);
 constexpr char kViolationMetricPrefix[] = "bendtide_invariant_violations{";
 
@@ -43,6 +44,7 @@
   controllers_.start_all();
   users_.start();
   injector_.start();
+  if (lab_.plan.late_start_copies) lab_.loop.spawn(deliver_late_start_copies());
   lab_.loop.spawn(run_checks_until_end());
   lab_.loop.run();
   return collect_result();
@@ -64,6 +66,21 @@
   lab_.loop.stop();
 }
 
+io::Task<> Soak::deliver_late_start_copies() {
+  const auto reachable_worker = [this](const std::string& machine) {
+    sim::SimulatedWorker* worker = workers_.worker(machine);
+    return worker == nullptr || worker->hanging || worker->unreachable_inbound ? nullptr : worker;
+  };
+  std::vector<std::string> known_leaders;
+  while (!lab_.closing) {
+    const std::vector<std::string> leaders = store_.leaders();
+    if (leaders != known_leaders) lab_.late_start_copies.on_leader_changed("");
+    known_leaders = leaders;
+    lab_.late_start_copies.deliver(reachable_worker, lab_.now());
+    co_await lab_.loop.sleep(kCopyInterval);
+  }
+}
+
 bool Soak::is_finished() const {
   if (!lab_.plan.expected_rule.empty()) return lab_.checker.violations().contains(lab_.plan.expected_rule);
   return lab_.now() >= lab_.plan.fault_phase && users_.unfinished_jobs().empty();
@@ -96,15 +113,25 @@
     for (const std::string& line : controllers_.errors(i))
       result.violations.push_back(with_prefix("error in the log", line));
   }
+  if (lab_.plan.late_start_copies) add_late_copy_violations(result);
   result.summary = summary();
   return result;
 }
 
+void Soak::add_late_copy_violations(SoakResult& result) const {
+  if (lab_.late_start_copies.started_attempts() > 0)
+    result.violations.push_back("attempts started by late copies: " +
+                                std::to_string(lab_.late_start_copies.started_attempts()));
+  for (const std::string& situation : lab_.late_start_copies.missing_pairs())
+    result.violations.push_back(with_prefix("no late copy was delivered", situation));
+}
+
 std::string Soak::summary() const {
   std::ostringstream text;
   text << users_.accepted_jobs() << " of " << users_.submitted_jobs() << " jobs accepted, "
        << users_.responses() << " responses and " << users_.failed_requests() << " failed requests, "
        << injector_.injected_faults() << " faults, in " << in_seconds(lab_.now()) << " s";
+  if (lab_.plan.late_start_copies) text << "; late copies of starts: " << lab_.late_start_copies.summary();
   return text.str();
 }
 
--- a/lab/soak.h
+++ b/lab/soak.h
@@ -37,10 +37,13 @@
  private:
   /// Runs the periodic checks and, at the end, reads the metrics and stops the loop.
   io::Task<> run_checks_until_end();
+  /// Delivers late copies of start commands at intervals.
+  io::Task<> deliver_late_start_copies();
   io::Task<> read_metrics(int controller);
   /// Whether the soak can end early: all work is done, or, if a violation is expected, it has been detected.
   bool is_finished() const;
   SoakResult collect_result();
+  void add_late_copy_violations(SoakResult& result) const;
   std::string summary() const;
 
   Laboratory lab_;
--- a/lab/soak_main.cpp
+++ b/lab/soak_main.cpp
@@ -43,6 +43,7 @@
   int machines = 24;
   double rate = 2;
   bool no_faults = false;
+  bool late_starts = false;
   std::string planted = "none";
   std::string expect;
   std::string program;
@@ -58,6 +59,7 @@
   plan.max_machines = options.machines;
   plan.jobs_per_second = options.rate;
   plan.inject_faults = !options.no_faults;
+  plan.late_start_copies = options.late_starts;
   plan.planted_defect = planted_defects().at(options.planted);
   plan.expected_rule = options.expect;
   plan.program = options.program;
@@ -92,7 +94,8 @@
   std::cout << result.violations.size() << " violations; logs and history are in " << options.directory
             << "\nto repeat the soak: bendtide_soak --program " << options.program << " --seed "
             << options.seed << " --duration " << options.duration << " --settle " << options.settle
-            << " --machines " << options.machines << " --rate " << options.rate << "\n";
+            << " --machines " << options.machines << " --rate " << options.rate
+            << (options.late_starts ? " --late-starts" : "") << "\n";
   return 1;
 }
 
@@ -115,6 +118,8 @@
   app.add_option("--directory", options.directory,
                  "directory for settings and logs; kept if there is a violation");
   app.add_flag("--no-faults", options.no_faults, "inject no faults other than the planted defect");
+  app.add_flag("--late-starts", options.late_starts,
+               "deliver late copies of start commands that were carried out and answered");
   app.add_option("--planted", options.planted,
                  "defect of the simulated services that the checker must detect")
       ->check(CLI::IsMember(planted_defects()));
--- a/lab/store_server.h
+++ b/lab/store_server.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <memory>
 
+#include "core/model/records.h"
 #include "http_server.h"
 #include "laboratory.h"
 #include "link_proxy.h"
@@ -22,6 +23,8 @@
   void set_outage(bool on);
   /// While set, the requests of this controller fail with status 503; the others are served.
   void set_refused(int controller, bool on) { ports_.at(static_cast<std::size_t>(controller)).refused = on; }
+  /// The processes that lead the shards, as stored.
+  std::vector<std::string> leaders() const { return store_.values_under(records::kLeasePrefix); }
   /// The proxy through which a controller reaches the store.
   LinkProxy& link(int controller) { return *ports_.at(static_cast<std::size_t>(controller)).link; }
 
--- a/lab/worker_fleet.cpp
+++ b/lab/worker_fleet.cpp
@@ -117,6 +117,8 @@
   const std::string body = with_planted_defect(machine, request.body);
   const sim::Response response = receiver->handle_commands(body, lab_.now());
   if (response.status == 200) record_commands(machine, body, "direct request");
+  if (response.status == 200 && lab_.plan.late_start_copies)
+    lab_.late_start_copies.record(machine, body, "", "");
   co_return HttpReply{response.status, response.body};
 }
 
--- a/tests/sim/checker.cpp
+++ b/tests/sim/checker.cpp
@@ -150,6 +150,13 @@
                      [&](const auto& entry) { return entry.second.machine == machine; });
 }
 
+bool Checker::is_on_another_machine(const TaskId& task, const std::string& machine) const {
+  const auto job = jobs_.find(task.job);
+  if (job == jobs_.end()) return false;
+  const auto [begin, end] = job->second.placements.equal_range(task.index);
+  return std::any_of(begin, end, [&](const auto& entry) { return entry.second.machine != machine; });
+}
+
 // ---- checks of deadlines ------------------------------------------------------------------------
 
 void Checker::set_runnable(const std::string& id, bool is_runnable, Micros now) {
--- a/tests/sim/checker.h
+++ b/tests/sim/checker.h
@@ -60,6 +60,12 @@
     return jobs_.contains(id) && !jobs_.at(id).placements.empty();
   }
   bool is_running_on(const std::string& id, const std::string& machine) const;
+  /// Whether the task is on a machine other than `machine`.
+  bool is_on_another_machine(const TaskId& task, const std::string& machine) const;
+  /// Whether a user was told that the job is cancelled.
+  bool is_reported_cancelled(const std::string& id) const {
+    return jobs_.contains(id) && jobs_.at(id).is_reported_cancelled();
+  }
   /// The quota used by the tasks of a team that are on machines.
   const Quota& used(const std::string& team) { return used_[team]; }
 
--- a/tests/sim/environment.h
+++ b/tests/sim/environment.h
@@ -8,6 +8,7 @@
 #include "sim/checker.h"
 #include "sim/evidence.h"
 #include "sim/fault_scenario.h"
+#include "sim/late_start_copies.h"
 #include "sim/planted_defects.h"
 #include "sim/simulated_key_value_store.h"
 #include "sim/simulation.h"
@@ -38,6 +39,7 @@
         settings(settings_for(the_scenario)),
         simulation(the_scenario.seed),
         checker(settings),
+        late_start_copies(checker),
         defects(the_scenario.planted_defect, jobs),
         store(settings) {}
   Environment(const Environment&) = delete;
@@ -50,6 +52,7 @@
   EvidenceCounters evidence;
   ActiveFaults faults;
   Checker checker;
+  LateStartCopies late_start_copies;
   const PlantedDefects defects;
   SimulatedKeyValueStore store;
 };
--- a/tests/sim/fault_injector_machines.cpp
+++ b/tests/sim/fault_injector_machines.cpp
@@ -83,8 +83,10 @@
 
 void FaultInjector::hang(const std::vector<std::string>& machines, Micros duration) {
   set_worker_flag(machines, &SimulatedWorker::hanging, true);
-  environment_.simulation.schedule_after(
-      duration, [this, machines] { set_worker_flag(machines, &SimulatedWorker::hanging, false); });
+  environment_.simulation.schedule_after(duration, [this, machines] {
+    set_worker_flag(machines, &SimulatedWorker::hanging, false);
+    for (const std::string& machine : machines) environment_.late_start_copies.on_machine_returned(machine);
+  });
 }
 
 void FaultInjector::hang_machines(const Injection& injection) {
@@ -101,8 +103,10 @@
 
 void FaultInjector::restart_workers(const Injection& injection) {
   for (const std::string& machine : injection.machines)
-    if (SimulatedWorker* worker = machines_.running_worker(machine))
+    if (SimulatedWorker* worker = machines_.running_worker(machine)) {
       worker->restart(environment_.simulation.now());
+      environment_.late_start_copies.on_machine_returned(machine);
+    }
 }
 
 void FaultInjector::delay_boots(const Injection& injection) {
--- a/tests/sim/fault_scenario.h
+++ b/tests/sim/fault_scenario.h
@@ -102,6 +102,8 @@
   /// Draws from the extended set of kinds, has a controller in each zone and duplicates store requests. False
   /// in scenarios of older tests, so that their seeds keep producing the same runs.
   bool has_extended_faults = true;
+  /// Copies of start commands that were carried out and answered reach their machines again and again.
+  bool late_start_copies = false;
   bool machines_stay_unreachable = false;  ///< machines that became unreachable inbound stay so to the end
 
   // Users.
--- a/tests/sim/simulated_cluster.cpp
+++ b/tests/sim/simulated_cluster.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Micros kMachineUpdateInterval = millis(100);
+constexpr Micros kCopyInterval = millis(250);
 constexpr Micros kUnusualRequestsStart = seconds(9);
 constexpr Micros kAdminRequestInterval = seconds(17);
 constexpr Micros kNeglectCheckStart = seconds(1);
@@ -35,6 +36,8 @@
   controllers_.start_all();
   users_.start();
   simulation.schedule_after(kMachineUpdateInterval, [this] { advance_machines(); });
+  if (scenario.late_start_copies)
+    simulation.schedule_after(kCopyInterval, [this] { deliver_late_start_copies(); });
   simulation.schedule_after(kUnusualRequestsStart, [this] { users_.send_unusual_requests(); });
   if (scenario.operators_poll)
     simulation.schedule_after(kAdminRequestInterval, [this] { send_admin_requests(); });
@@ -59,6 +62,15 @@
   environment_.simulation.schedule_after(kMachineUpdateInterval, [this] { advance_machines(); });
 }
 
+void SimulatedCluster::deliver_late_start_copies() {
+  const auto reachable_worker = [this](const std::string& machine) {
+    SimulatedWorker* worker = machines_.running_worker(machine);
+    return worker == nullptr || worker->hanging || worker->unreachable_inbound ? nullptr : worker;
+  };
+  environment_.late_start_copies.deliver(reachable_worker, environment_.simulation.now());
+  environment_.simulation.schedule_after(kCopyInterval, [this] { deliver_late_start_copies(); });
+}
+
 void SimulatedCluster::count_teams_at_limit() {
   for (const Team& team : environment_.settings.teams)
     if (!(environment_.checker.used(team.name) + kSmallestTaskSize).fits_in(team.limit))
--- a/tests/sim/simulated_cluster.h
+++ b/tests/sim/simulated_cluster.h
@@ -31,6 +31,7 @@
 
   const Checker& checker() const { return environment_.checker; }
   const SimulatedKeyValueStore& store() const { return environment_.store; }
+  const LateStartCopies& late_start_copies() const { return environment_.late_start_copies; }
   /// Returns how often the given kind of evidence was recorded.
   std::size_t evidence_count(Evidence evidence) const { return environment_.evidence.count(evidence); }
   /// Returns a description of each job that has not reached its expected state by the end of the run.
@@ -51,6 +52,8 @@
  private:
   /// Advances all machines to the current virtual time, and schedules itself again.
   void advance_machines();
+  /// Delivers all late copies of start commands, and schedules itself again.
+  void deliver_late_start_copies();
   void count_teams_at_limit();
   void send_admin_requests();
   void print_states() const;
--- a/tests/sim/simulated_controllers.cpp
+++ b/tests/sim/simulated_controllers.cpp
@@ -47,6 +47,7 @@
   settings.zone = host.zone;
   for (const auto& other : hosts_)
     if (other->name != host.name) settings.peers.push_back({other->name, other->zone, other->name});
+  environment_.late_start_copies.on_controller_returned(host.name);
   host.incarnation = ++started_processes_;
   host.core = std::make_unique<Controller>(environment_.defects.controller_settings(settings),
                                            "life-" + std::to_string(host.incarnation), host.incarnation);
--- a/tests/sim/simulated_controllers.h
+++ b/tests/sim/simulated_controllers.h
@@ -114,7 +114,10 @@
   /// Times the call out for the controller, and executes the transaction later, after newer ones.
   void execute_transaction_late(ControllerHost& host, const StoreCall& action);
   StoreResponse serve_store(const std::string& host, const StoreRequest& request);
-  CommandResponse serve_commands(const std::string& machine, const std::string& body);
+  CommandResponse serve_commands(const std::string& sender, const std::string& machine,
+                                 const std::string& body);
+  /// Returns the shard of a machine that this controller leads; empty if it leads none with the machine.
+  std::string shard_led_by(const std::string& host, const std::string& machine);
 
   /// Sends a request and schedules its timeout.
   template <class Response>
--- a/tests/sim/simulated_controllers_actions.cpp
+++ b/tests/sim/simulated_controllers_actions.cpp
@@ -20,6 +20,14 @@
 /// Time to serve one request while FaultKind::store_slow is in effect, multiplied by the slowness factor.
 constexpr double kStoreServiceTimeMicros = 5000;
 
+/// Returns the shard that a log line reports as acquired; empty if it reports something else.
+std::string acquired_shard(const LogLine& line) {
+  const std::string field = "shard=";
+  const std::size_t begin = line.text.find(field);
+  if (!line.text.ends_with(" shard acquired") || begin == std::string::npos) return {};
+  return line.text.substr(begin + field.size(), line.text.find(' ', begin) - begin - field.size());
+}
+
 }  // namespace
 
 // ---- calls with a response or a timeout ---------------------------------------------------------
@@ -117,15 +125,17 @@
   const std::string machine = address.substr(0, address.find(':'));
   CommandRequest delivered = action.request;
   delivered.commands = environment_.defects.commands_to_deliver(std::move(delivered.commands));
-  call<CommandResponse>(
-      {&host, host.incarnation, machine, kWorkerTimeout,
-       [this, machine, body = wire::request_of(delivered).body] { return serve_commands(machine, body); },
-       [id = action.call](Controller& core, const CommandResponse& response) {
-         core.on_command_response(id, response);
-       }});
+  call<CommandResponse>({&host, host.incarnation, machine, kWorkerTimeout,
+                         [this, sender = host.name, machine, body = wire::request_of(delivered).body] {
+                           return serve_commands(sender, machine, body);
+                         },
+                         [id = action.call](Controller& core, const CommandResponse& response) {
+                           core.on_command_response(id, response);
+                         }});
 }
 
-CommandResponse SimulatedControllers::serve_commands(const std::string& machine, const std::string& body) {
+CommandResponse SimulatedControllers::serve_commands(const std::string& sender, const std::string& machine,
+                                                     const std::string& body) {
   SimulatedWorker* worker = machines_.running_worker(machine);
   if (worker == nullptr || worker->unreachable_inbound) return {};
   network_.duplicate_randomly([this, machine, body] {
@@ -133,9 +143,19 @@
       current->handle_commands(body, environment_.simulation.now());
   });
   const Response response = worker->handle_commands(body, environment_.simulation.now());
+  if (environment_.scenario.late_start_copies && response.status == 200)
+    environment_.late_start_copies.record(machine, body, sender, shard_led_by(sender, machine));
   return wire::parse_command_response(response.status, response.body);
 }
 
+std::string SimulatedControllers::shard_led_by(const std::string& host, const std::string& machine) {
+  const ControllerHost* sender = find(host);
+  if (sender == nullptr || !sender->is_up()) return {};
+  for (const auto& [name, shard] : sender->core->state().shards)
+    if (shard.machines.contains(machine)) return name;
+  return {};
+}
+
 // ---- peer messages, replies and log lines -------------------------------------------------------
 
 void SimulatedControllers::perform(ControllerHost& host, const PeerSend& action) {
@@ -166,6 +186,8 @@
 
 void SimulatedControllers::perform(ControllerHost& host, const LogLine& action) {
   environment_.evidence.add_from_log(action);
+  const std::string acquired = acquired_shard(action);
+  if (!acquired.empty()) environment_.late_start_copies.on_leader_changed(acquired);
   if (environment_.scenario.verbose)
     std::printf("%9.3f %s %s\n", in_seconds(environment_.simulation.now()), host.name.c_str(),
                 action.text.c_str());
--- a/tests/sim/simulated_key_value_store.cpp
+++ b/tests/sim/simulated_key_value_store.cpp
@@ -154,6 +154,14 @@
   }
 }
 
+std::vector<std::string> SimulatedKeyValueStore::values_under(const std::string& prefix) const {
+  std::vector<std::string> values;
+  for (auto entry = entries_.lower_bound(prefix); entry != entries_.end() && entry->first.starts_with(prefix);
+       ++entry)
+    values.push_back(entry->second.value.dump());
+  return values;
+}
+
 json SimulatedKeyValueStore::snapshot() const {
   json rows = json::array();
   json leases = json::array();
--- a/tests/sim/simulated_key_value_store.h
+++ b/tests/sim/simulated_key_value_store.h
@@ -29,6 +29,8 @@
   void set_outage(bool on, Micros now);
   /// Returns the number of keys.
   std::size_t key_count() const { return entries_.size(); }
+  /// Returns the values of the keys with a prefix, in key order, as JSON texts.
+  std::vector<std::string> values_under(const std::string& prefix) const;
   /// Returns all entries and leases, with their revisions.
   nlohmann::json snapshot() const;
   /// Replaces the contents by those of a snapshot. Each lease gets its full term again.
--- a/tests/sim/simulated_worker.h
+++ b/tests/sim/simulated_worker.h
@@ -47,6 +47,8 @@
   /// Serves a command request, which a controller sends independently of heartbeats.
   Response handle_commands(const std::string& body, Micros now);
 
+  /// Returns whether the worker holds this attempt, in any state.
+  bool knows(const TaskId& task, std::uint64_t attempt) const { return tasks_.contains({task, attempt}); }
   /// Returns the resources of the machine that no task holds.
   Resources free() const;
   /// Returns the number of tasks that hold resources.
