FinalStateWriter: the final state of the next leader is no violation

Cause: the traces show a leader that was cut off while a cancellation or an end was being written. The next leader had ended the job. The write of the first one conflicted at the lease record and at the job at once, and it reported a violation of the rule that the leader alone ends jobs, which it no longer was. The answers to users were right.

Change: the check is made only if the lease record did not conflict. For the leader it is as before (FinalState.StoredStateIsNotOverwritten).

--- a/src/core/jobs/ended_jobs.cpp
+++ b/src/core/jobs/ended_jobs.cpp
@@ -39,8 +39,7 @@
     if (found == shard.jobs.end()) continue;
     Job& job = found->second;
     stop_attempts(state, shard, job);
-    if (job.placement_count > 0 || job.finalizing || job.tasks_in_award > 0 ||
-        job.tasks_in_return > 0) {
+    if (job.placement_count > 0 || job.finalizing || job.tasks_in_award > 0 || job.tasks_in_return > 0) {
       shard.ended_jobs.push_back(std::move(id));
       continue;
     }
--- a/src/core/jobs/final_state_writer.cpp
+++ b/src/core/jobs/final_state_writer.cpp
@@ -69,7 +69,9 @@
   if (response.outcome == Outcome::conflict) {
     invalidate_leases_();
     const bool has_stored_state = response.condition_failed_on(records::final_job_key(write.job));
-    if (has_stored_state) return read_stored_state(write, respond);
+    FinalWrite conflicting = write;
+    conflicting.lease_superseded = response.condition_failed_on(records::lease_key(write.shard));
+    if (has_stored_state) return read_stored_state(conflicting, respond);
   }
   respond(replies::unavailable(write.job));
   FinalWrite retry = write;
@@ -102,7 +104,9 @@
     return;
   }
   const bool may_be_own_write = write.outcome_unknown && record->phase == write.phase;
-  if (!may_be_own_write && state_.shard_in_term(write.shard, write.leadership_term) != nullptr)
+  const bool is_leader =
+      !write.lease_superseded && state_.shard_in_term(write.shard, write.leadership_term) != nullptr;
+  if (!may_be_own_write && is_leader)
     state_.context.report_violation(Invariant::final_state_stays,
                                     LogMessage("final state to be written differs from the one stored")
                                         .shard(write.shard)
--- a/tests/late_answer_test.cpp
+++ b/tests/late_answer_test.cpp
@@ -122,6 +122,23 @@
   EXPECT_EQ(t.context.invariants.total(), 1u) << "the refused write had a different final state";
 }
 
+// Like StoredStateIsNotOverwritten, but without an invariant violation: the lease record has changed as well,
+// so this controller is no longer the leader, and the next one has ended the job. An error used to be logged.
+TEST(FinalState, StoredStateOfNextLeaderIsNoViolation) {
+  JobsFixture t;
+  t.add_job();
+  t.cancel();
+  StoreResponse refused;
+  refused.outcome = Outcome::conflict;
+  refused.failed = {records::lease_key("a"), records::final_job_key(kTask.job)};
+  t.respond(0, refused);
+  t.respond(1, read_response(records::final_job_key(kTask.job),
+                             records::to_json(records::FinalJob{JobPhase::done, 1}), 15));
+  ASSERT_EQ(t.replies.size(), 1u);
+  EXPECT_EQ(t.replies[0].phase, JobPhase::done);
+  EXPECT_EQ(t.context.invariants.total(), 0u);
+}
+
 // Like StoredStateIsNotOverwritten, but without an invariant violation: the first write was executed and only
 // its response was lost, so the retry finds the final state that the first write stored.
 TEST(FinalState, RetryFindsStateOfUnconfirmedWrite) {
