Negotiation: ProgressReader and award_selection.h, formatting

Change: the records of finished tasks are read by ProgressReader, and the choice of the tasks of an award stands in award_selection.h. Two headers are formatted.

--- a/src/core/jobs/final_state_writer.h
+++ b/src/core/jobs/final_state_writer.h
@@ -32,7 +32,8 @@
     std::string job;
     JobPhase phase = JobPhase::done;
     bool outcome_unknown = false;  ///< an earlier attempt to write it got no response
-    /// The lease record had changed as well when the write conflicted: the next leader may have ended the job.
+    /// The lease record had changed as well when the write conflicted: the next leader may have ended the
+    /// job.
     bool lease_superseded = false;
   };
   void write(const FinalWrite& write, const ReplyCallback& respond);
--- a/src/core/negotiation/award_reader.cpp
+++ b/src/core/negotiation/award_reader.cpp
@@ -1,7 +1,6 @@
 #include "core/negotiation/award_reader.h"
 
 #include <algorithm>
-#include <cstdlib>
 
 #include "core/negotiation/task_ranges.h"
 
@@ -14,10 +13,6 @@
 constexpr Micros kOutgoingReadInterval = seconds(10);
 /// The shortest time between two reads of the awards that a shard has made, however many notices arrive.
 constexpr Micros kMinOutgoingReadInterval = seconds(2);
-/// Delays the read after a progress notice, so that notices in quick succession lead to a single read.
-constexpr Micros kNoticeReadDelay = millis(150);
-
-bool has_outgoing_awards(const Job& job) { return !job.awards.empty() && job.owner.empty(); }
 
 /// Returns the job of an award, owned by another shard, with none of its tasks assigned to this shard yet.
 Job make_awarded_job(const records::Award& award) {
@@ -54,48 +49,13 @@
     if (!still_awarded[task] && job.tasks[task].state == Task::State::elsewhere) job.set_waiting(task);
 }
 
-/// Marks as done the tasks that the chunk records as done. Tasks placed in this shard are left alone, because
-/// their workers report how they end. Waiting tasks are marked only while the shard is being loaded.
-void apply_done_bits(Job& job, const records::DoneBits& done, ProgressRead read) {
-  const std::size_t first = std::size_t{done.chunk} * records::kTasksPerChunk;
-  for (std::size_t i = 0; i < done.bits.size() && first + i < job.tasks.size(); ++i) {
-    if (!done.bits[i]) continue;
-    const Task::State state = job.tasks[first + i].state;
-    if (state == Task::State::elsewhere ||
-        (read == ProgressRead::at_takeover && state == Task::State::waiting))
-      job.mark_done(static_cast<std::uint32_t>(first + i), true);
-  }
-}
-
-/// Applies a record of finished tasks that an earlier leader of this shard wrote.
-void load_own_progress(Shard& shard, FinishedTaskSlot& slot, const std::vector<records::DoneBits>& chunks) {
-  for (const records::DoneBits& chunk : chunks) {
-    const auto job = shard.jobs.find(chunk.job);
-    // The next write of the record leaves out jobs that no longer exist.
-    if (job == shard.jobs.end()) continue;
-    if (slot.chunks.insert({chunk.job, chunk.chunk}).second)
-      slot.bytes += records::max_done_bytes(chunk.job, chunk.bits.size());
-    apply_done_bits(job->second, chunk, ProgressRead::at_takeover);
-  }
-}
-
-/// Applies a record of finished tasks that another shard wrote.
-void load_progress_of_peer(Shard& shard, const std::vector<records::DoneBits>& chunks, ProgressRead read) {
-  for (const records::DoneBits& chunk : chunks) {
-    const auto job = shard.jobs.find(chunk.job);
-    if (job != shard.jobs.end() && job->second.owner.empty()) apply_done_bits(job->second, chunk, read);
-  }
-}
-
 }  // namespace
 
 void AwardReader::refresh(Shard& shard) {
   if (shard.award_read.due(state_.now())) read_awards(shard);
   const bool has_awarded = std::any_of(shard.jobs.begin(), shard.jobs.end(),
-                                       [](const auto& entry) { return has_outgoing_awards(entry.second); });
-  if (!has_awarded) return;
-  if (shard.outgoing_award_read.due(state_.now())) read_outgoing_awards(shard);
-  if (shard.progress_read.due(state_.now())) read_progress(shard);
+                                       [](const auto& entry) { return entry.second.has_outgoing_awards(); });
+  if (has_awarded && shard.outgoing_award_read.due(state_.now())) read_outgoing_awards(shard);
 }
 
 void AwardReader::on_award_notice(const std::string& name) {
@@ -107,11 +67,6 @@
   shard->quota.mark_stale();
 }
 
-void AwardReader::on_progress_notice(const std::string& name) {
-  if (Shard* shard = state_.ready_shard(name))
-    shard->progress_read.bring_forward(state_.now() + kNoticeReadDelay);
-}
-
 // ---- awards --------------------------------------------------------------------------------------
 
 void AwardReader::read_awards(Shard& shard) {
@@ -223,7 +178,7 @@
   }
   for (auto& [id, job] : shard.jobs) {
     // While an award is being written, or the final state, awards may be gone for another reason.
-    if (!has_outgoing_awards(job) || job.tasks_in_award > 0 || job.finalizing || job.ended) continue;
+    if (!job.has_outgoing_awards() || job.tasks_in_award > 0 || job.finalizing || job.ended) continue;
     take_back_returned_tasks(shard, job, stored, requested_at);
   }
 }
@@ -279,36 +234,4 @@
   }
 }
 
-// ---- finished tasks ------------------------------------------------------------------------------
-
-void AwardReader::read_progress(Shard& shard) {
-  shard.progress_read.begin();
-  shard.progress_read.schedule(state_.now() + kReadInterval);
-  state_.store.list(records::kDonePrefix, [this, name = shard.name, leadership_term = shard.leadership_term](
-                                              const StoreResponse& response) {
-    Shard* read_shard = state_.shard_in_term(name, leadership_term);
-    if (read_shard == nullptr) return;
-    read_shard->progress_read.end();
-    if (response.ok()) load_progress(*read_shard, response.entries, ProgressRead::periodic);
-  });
-}
-
-void AwardReader::load_progress(Shard& shard, const std::vector<KeyValue>& entries, ProgressRead read) {
-  for (const KeyValue& entry : entries) {
-    const std::vector<std::string> key = records::split_key(entry.key);
-    if (key.size() != 3) continue;
-    const bool is_own = key[1] == shard.name;
-    if (is_own && read == ProgressRead::periodic) continue;
-    const auto chunks = records::read_done_bits(entry.value);
-    if (!is_own) {
-      if (chunks) load_progress_of_peer(shard, *chunks, read);
-      continue;
-    }
-    const auto number = static_cast<std::uint32_t>(std::strtoul(key[2].c_str(), nullptr, 10));
-    FinishedTaskSlot& slot = shard.finished_task_slots[number];
-    slot.revision = entry.revision;
-    if (chunks) load_own_progress(shard, slot, *chunks);
-  }
-}
-
 }  // namespace bendtide
--- a/src/core/negotiation/award_reader.h
+++ b/src/core/negotiation/award_reader.h
@@ -1,6 +1,5 @@
-// Reads the records of awards and of finished tasks from the key-value store and applies them to the jobs of
-// a shard: the tasks that other shards awarded to it, the tasks that it awarded to other shards, and which of
-// them are done.
+// Reads the records of awards from the key-value store and applies them to the jobs of a shard: the tasks
+// that other shards awarded to it, and the tasks that it awarded to other shards.
 //
 // The shard that owns a job may remove an award at any time, and a winner may return tasks (AwardReturns).
 // The owner therefore also reads the awards that it has made: returned tasks wait in its shard again. Awarded
@@ -17,30 +16,19 @@
 
 namespace bendtide {
 
-/// The occasion on which the records of finished tasks are read.
-enum class ProgressRead : std::uint8_t {
-  at_takeover,  ///< the shard is being loaded; its own records are applied as well
-  periodic      ///< only records of other shards are applied
-};
-
 class AwardReader {
  public:
   AwardReader(ControllerState& state, NegotiationCounters& counters) : state_(state), counters_(counters) {}
 
-  /// Reads the awards to a shard, those that it has made, and the progress of the tasks that it awarded, each
-  /// if the next read is due.
+  /// Reads the awards to a shard, and those that it has made, each if the next read is due.
   void refresh(Shard& shard);
   /// Handles the notice that awards to a shard, or awards that it has made, have changed. Its quota
   /// allocation may have changed as well, and is marked stale.
   void on_award_notice(const std::string& shard);
-  /// Handles the notice that another shard has recorded finished tasks of jobs owned by this shard.
-  void on_progress_notice(const std::string& shard);
   /// Requests the stop of tasks on the machine whose award may have been removed since the last read.
   void stop_stale_awards(Shard& shard, Machine& machine);
   /// Applies award records to a shard. `requested_at`: when the read was requested (steady clock).
   void load_awards(Shard& shard, const std::vector<KeyValue>& entries, Micros requested_at);
-  /// Applies records of finished tasks to the jobs of a shard.
-  static void load_progress(Shard& shard, const std::vector<KeyValue>& entries, ProgressRead read);
 
  private:
   /// The tasks of an award as stored, with the revision of its record.
@@ -61,7 +49,6 @@
   void on_outgoing_awards_read(Shard& shard, const StoreResponse& response, Micros requested_at);
   /// Lets tasks wait again that the winners of a job's awards have returned.
   void take_back_returned_tasks(Shard& shard, Job& job, const OutgoingAwards& stored, Micros requested_at);
-  void read_progress(Shard& shard);
 
   ControllerState& state_;
   NegotiationCounters& counters_;
--- a/src/core/negotiation/contract_net.cpp
+++ b/src/core/negotiation/contract_net.cpp
@@ -8,7 +8,8 @@
       initiator_(state, quota_transfer_, counters_),
       participant_(state, scheduler),
       award_reader_(state, counters_),
-      award_returns_(state, counters_, std::move(hooks.invalidate_leases)) {}
+      award_returns_(state, counters_, std::move(hooks.invalidate_leases)),
+      progress_reader_(state) {}
 
 void ContractNet::tick() {
   initiator_.decide_due_calls();
@@ -17,6 +18,7 @@
     if (!shard.ready()) continue;
     quota_transfer_.refresh_allocation(shard);
     award_reader_.refresh(shard);
+    progress_reader_.refresh(shard);
     if (shard.award_freshness.is_valid(state_.now())) {
       initiator_.start_calls(shard);
       award_returns_.return_unplaced_tasks(shard);
--- a/src/core/negotiation/contract_net.h
+++ b/src/core/negotiation/contract_net.h
@@ -10,11 +10,12 @@
 #include "core/negotiation/award_returns.h"
 #include "core/negotiation/initiator.h"
 #include "core/negotiation/participant.h"
+#include "core/negotiation/progress_reader.h"
 
 namespace bendtide {
 
 /// The interface of the contract net to the controller. Delegates to Initiator, Participant, QuotaTransfer,
-/// AwardReader and AwardReturns, one for each duty.
+/// AwardReader, AwardReturns and ProgressReader, one for each duty.
 class ContractNet {
  public:
   struct Hooks {
@@ -29,7 +30,7 @@
   void on_proposal(const Proposal& proposal) { initiator_.on_proposal(proposal); }
   void on_quota_transfer_request(const QuotaTransferRequest& request) { quota_transfer_.on_request(request); }
   void on_award_notice(const std::string& shard) { award_reader_.on_award_notice(shard); }
-  void on_progress_notice(const std::string& shard) { award_reader_.on_progress_notice(shard); }
+  void on_progress_notice(const std::string& shard) { progress_reader_.on_notice(shard); }
   void on_job_end_notice(const JobEndNotice& notice) { state_.record_job_end(notice.job, std::nullopt); }
 
   /// Requests the stop of tasks on the machine whose award may have been removed. Must be called before each
@@ -42,7 +43,7 @@
   }
   /// Applies records of finished tasks to a shard that is being loaded.
   static void load_progress(Shard& shard, const std::vector<KeyValue>& entries) {
-    AwardReader::load_progress(shard, entries, ProgressRead::at_takeover);
+    ProgressReader::load(shard, entries, ProgressRead::at_takeover);
   }
 
   const NegotiationCounters& counters() const { return counters_; }
@@ -57,6 +58,7 @@
   Participant participant_;
   AwardReader award_reader_;
   AwardReturns award_returns_;
+  ProgressReader progress_reader_;
 };
 
 }  // namespace bendtide
--- a/src/core/negotiation/initiator.cpp
+++ b/src/core/negotiation/initiator.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/negotiation/award_selection.h"
 #include "core/negotiation/task_ranges.h"
 
 namespace bendtide {
@@ -21,26 +22,6 @@
   return in_seconds(proposal.start_delay) + static_cast<double>(proposal.load_permille) / 1000.0;
 }
 
-/// Returns the tasks of an award that are not known to be done.
-std::vector<std::uint32_t> unfinished_tasks(const Job& job, const JobAward& award) {
-  std::vector<std::uint32_t> tasks = tasks_in(award.ranges, job.tasks.size());
-  std::erase_if(tasks, [&](std::uint32_t task) { return job.tasks[task].state != Task::State::elsewhere; });
-  return tasks;
-}
-
-/// Returns the award to `winner` that an award with the key `new_key` can replace; null if there is none. The
-/// new key must come after the old one: a list of the awards that is read page by page then shows at least
-/// one of them.
-const std::pair<const std::string, JobAward>* replaceable_award(const Job& job, const std::string& winner,
-                                                                const std::string& new_key,
-                                                                std::size_t max_ranges) {
-  for (auto award = job.awards.rbegin(); award != job.awards.rend(); ++award)
-    if (award->second.winner == winner && award->first < new_key &&
-        ranges_of(unfinished_tasks(job, award->second)).size() < max_ranges)
-      return &*award;
-  return nullptr;
-}
-
 /// Whether the shards that refused `refused` would also refuse `job`: its tasks need at least the same
 /// resources under the same rules and at no higher priority.
 bool would_also_be_refused(const Job& job, const Job& refused) {
@@ -320,24 +301,4 @@
                                  (best.free_quota_share + spare).count_that_fit(each)});
 }
 
-/// Selects up to `count` waiting tasks, which leave the waiting state. Selects fewer if they would form more
-/// than `max_ranges` ranges.
-std::vector<std::uint32_t> Initiator::select_tasks(Job& job, std::int64_t count, std::size_t max_ranges) {
-  std::vector<std::uint32_t> selected;
-  for (std::int64_t i = 0; i < count; ++i) {
-    selected.push_back(job.waiting.back());
-    job.leave_waiting(selected.back(), {Task::State::elsewhere, nullptr, 0});
-  }
-  std::vector<records::TaskRange> ranges = ranges_of(selected);
-  while (ranges.size() > max_ranges) {
-    const auto [first, length] = ranges.back();
-    for (std::uint32_t task = first; task < first + length; ++task) {
-      std::erase(selected, task);
-      job.set_waiting(task);
-    }
-    ranges.pop_back();
-  }
-  return selected;
-}
-
 }  // namespace bendtide
--- a/src/core/negotiation/initiator.h
+++ b/src/core/negotiation/initiator.h
@@ -56,7 +56,6 @@
   static void mark_similar_refused(Shard& shard, const Job& refused);
   void award(Shard& shard, Job& job, const Proposal& best);
   std::int64_t count_tasks_to_award(const Shard& shard, const Job& job, const Proposal& best) const;
-  static std::vector<std::uint32_t> select_tasks(Job& job, std::int64_t count, std::size_t max_ranges);
 
   ControllerState& state_;
   QuotaTransfer& quota_transfer_;
--- a/src/core/state/job.h
+++ b/src/core/state/job.h
@@ -82,6 +82,8 @@
   bool only_where_cached = false;
   bool no_offering = false;  ///< the cloud currently offers no machine that suits the job
 
+  /// Returns whether the job belongs to this shard and has tasks awarded to others.
+  bool has_outgoing_awards() const { return owner.empty() && !awards.empty(); }
   /// Returns whether any task has been placed or is done.
   bool has_begun() const { return done > 0 || placement_count > 0 || waiting.size() < tasks.size(); }
   bool can_start(Micros now) const { return !ended && !finalizing && !waiting.empty() && now >= retry_at; }
--- a/tests/sim/simulated_worker.h
+++ b/tests/sim/simulated_worker.h
@@ -60,7 +60,10 @@
   /// Ends all tasks immediately and removes them.
   void stop();
   /// Restarts the worker as a new incarnation without tasks; it is up again immediately.
-  void restart(Micros now) { token_ = 0; begin_incarnation(now); }
+  void restart(Micros now) {
+    token_ = 0;
+    begin_incarnation(now);
+  }
 
   std::string target_controller;      ///< host of the controller that gets its heartbeats; empty: unknown
   std::size_t next_controller = 0;    ///< index of the next to try while `target_controller` is empty
