Known red: a winner stops services after two slow reads of the awards

The cause, from the trace: the read of the awards got no response in time twice, a second read waits for the whole interval, and the awards that were last read became older than the lease term. That path is as it was before.

--- a/tests/simulated_cluster_test.cpp
+++ b/tests/simulated_cluster_test.cpp
@@ -50,7 +50,7 @@
   expect_rules_kept(scenario);
 }
 
-INSTANTIATE_TEST_SUITE_P(Regressions, RandomFaults, testing::Values(255, 668, 789, 9112));
+INSTANTIATE_TEST_SUITE_P(Regressions, RandomFaults, testing::Values(255, 668, 789, 9112, 2783));
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RegressionScenario,
                          testing::Values(57, 204, 241, 262, 283, 312, 344, 399, 409, 412, 460, 479, 616,
